--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,879 @@
+// Every decision of garnethook. The interface (settings, events, actions) is in brain.h.
+//
+// Ordinary path, after MemServe: a request is read where reading it costs least, by a fitted curve of
+// prompt length and cached ratio plus the reader's queue; then it is answered by the writer of that
+// reader's cell with most room. Everything else here acts only when that path is in trouble.
+#include "brain.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
+#include <stdexcept>
+
+namespace garnethook {
+namespace {
+
+// ---- tuned values ---------------------------------------------------------------------------------
+constexpr Micros kSecond = 1'000'000;
+// Table: the design's lifetime, and a bound on memory far above what lives that long.
+constexpr Micros kTableLife = 10 * kSecond;
+constexpr std::size_t kTableKeys = 50'000;
+// Curve: samples that still count (forgetting), weight of the starting guess in samples, and how far
+// from the prediction a sample may pull.
+constexpr double kCurveMemory = 300;
+constexpr double kCurvePrior = 3;
+constexpr double kOutlier = 3;
+constexpr double kPriorDelayShare = 0.02;  // of the smallest aim: fixed part of a read, to start with
+constexpr double kPriorTokenShare = 0.25;  // of that aim: a read of kPriorPrompt, when no slope is told
+constexpr double kPriorPrompt = 4000;
+// Speed of a server, observed over predicted: weight of a sample, bounds, and how long it is believed.
+constexpr double kSpeedWeight = 0.2;
+constexpr double kSpeedMin = 0.5;
+constexpr double kSpeedMax = 8;
+constexpr double kSpeedLife = 8e6;
+// A report of queued tokens is believed for about this long.
+constexpr double kReportLife = 1e6;
+// Guard of the hashed reader: share of the time left to the aim that its queue may take.
+constexpr double kHashGuard = 0.6;
+// Time-outs: multiple of the predicted time plus a share of the aim.
+constexpr double kReadPatience = 3;
+constexpr double kWritePatience = 5;
+constexpr double kPatienceFloor = 0.25;
+constexpr double kWritePrior = 0.1;  // share of the smallest aim: time to a first token, to start with
+constexpr double kWriteWeight = 0.05;
+// A server from which nothing came since an attempt was sent is quiet after this much of its time-out.
+constexpr double kQuietShare = 0.6;
+// Suspicion: points that make a suspect, their life, what each symptom counts, and the wait for a trial.
+constexpr double kSuspect = 1;
+constexpr double kStrikeLife = 5e6;
+constexpr double kStrikeConnect = 1;
+constexpr double kStrikeReset = 0.6;
+constexpr double kStrikeError = 0.4;
+constexpr double kStrikeTimeout = 0.6;
+constexpr double kStrikeSlow = 0.2;  // timed out, but the server answered others meanwhile
+constexpr Micros kTrialWait = kSecond / 2;
+constexpr Micros kTrialWaitMax = 4 * kSecond;
+// A zone counts as cut when this share of its servers, and at least two, are suspect.
+constexpr double kCutShare = 0.6;
+// Writers: memory share up to which there is room, and how a full answer weighs.
+constexpr double kRoom = 0.95;
+constexpr double kOutputGuess = 0.5;  // of the maximum output, where no hint is given
+// Mixed servers: how much of a writer's worth of memory their memory counts, since they read as well.
+constexpr double kMixedWorth = 0.5;
+// Held states: share of the release time that may pass before the last attempt, and how often to look.
+constexpr double kHoldShare = 0.7;
+constexpr int kHoldLooks = 10;
+// Cold servers: share of the budget that this router allows itself.
+constexpr double kColdSafety = 0.6;
+// Housekeeping: how often, and horizon of the sends that measure a warm server's usual load.
+constexpr Micros kTick = kSecond / 4;
+constexpr Micros kLoadHorizon = 6 * kSecond;
+// ---------------------------------------------------------------------------------------------------
+
+double asDouble(Micros time) { return static_cast<double>(time); }
+Micros asMicros(double time) { return static_cast<Micros>(time); }
+
+// Rendezvous weight: equal at every router, so that unknown keys meet at one reader.
+std::uint64_t mix(std::uint64_t value) {
+  value ^= value >> 30;
+  value *= 0xbf58476d1ce4e5b9ULL;
+  value ^= value >> 27;
+  value *= 0x94d049bb133111ebULL;
+  return value ^ (value >> 31);
+}
+std::uint64_t rendezvous(PrefixKey key, ServerId server) {
+  return mix(mix(key.value + 0x9e3779b97f4a7c15ULL) ^ mix(server.value));
+}
+
+// exec(x, y) = d + c x (1 - y) + a x^2 (1 - y^2), x in tokens, time in microseconds. Fitted online by
+// least squares with forgetting; coordinate descent keeps every coefficient at 0 or above.
+class ReadCurve {
+ public:
+  ReadCurve(double delay, double perKiloToken) : prior_{delay, perKiloToken, 0}, coefficient_(prior_) {}
+
+  double predict(double tokens, double cached) const {
+    const auto f = features(tokens, cached);
+    return coefficient_[0] * f[0] + coefficient_[1] * f[1] + coefficient_[2] * f[2];
+  }
+
+  void learn(double tokens, double cached, double time) {
+    const auto f = features(tokens, cached);
+    const double expected = predict(tokens, cached);
+    time = std::clamp(time, expected / kOutlier, expected * kOutlier);
+    for (std::size_t i = 0; i < 3; ++i) {
+      for (std::size_t j = 0; j < 3; ++j) normal_[i][j] += f[i] * f[j] - normal_[i][j] / kCurveMemory;
+      right_[i] += f[i] * time - right_[i] / kCurveMemory;
+    }
+    for (int sweep = 0; sweep < 8; ++sweep) descend();
+  }
+
+ private:
+  using Triple = std::array<double, 3>;
+  static Triple features(double tokens, double cached) {
+    const double x = tokens / 1000;
+    const double y = tokens > 0 ? std::clamp(cached / tokens, 0.0, 1.0) : 0;
+    return {1, x * (1 - y), x * x * (1 - y * y)};
+  }
+  void descend() {
+    for (std::size_t i = 0; i < 3; ++i) {
+      double rest = right_[i] + kCurvePrior * prior_[i];
+      for (std::size_t j = 0; j < 3; ++j) rest -= j == i ? 0 : normal_[i][j] * coefficient_[j];
+      coefficient_[i] = std::max(0.0, rest / (normal_[i][i] + kCurvePrior));
+    }
+  }
+
+  Triple prior_;
+  Triple coefficient_;
+  std::array<Triple, 3> normal_{};
+  Triple right_{};
+};
+
+enum class Stage { read, write, whole };
+
+struct Flight {  // an attempt that is out
+  int number = 0;
+  ServerId server;
+  Stage stage = Stage::read;
+  Micros sentAt = 0;
+  double work = 0;       // predicted time of the read alone
+  double predicted = 0;  // predicted time to the next sign, queue included
+  double promised = 0;   // tokens that the table said were cached
+  double held = 0;       // tokens of memory at a writer
+  bool started = false;
+  bool trial = false;
+};
+
+struct Request {
+  RequestArrived ask;
+  RequestClass kind;
+  Micros aimAt = 0;
+  Micros deadline = 0;
+  int attempts = 0;
+  std::optional<Flight> out;
+  std::optional<ServerEntry> stateAt;
+  Micros stateSince = 0;
+  std::vector<ServerId> failed;       // servers that failed it
+  std::optional<ServerEntry> riskAt;  // where it may have run ...
+  Micros riskSince = 0;               // ... and when it was first sent there
+  bool ended = false;
+};
+
+struct Server {
+  ServerEntry info;
+  Role role = Role::both;
+  double memory = 0;
+  bool listed = false;
+  double speed = 1;
+  Micros speedAt = 0;
+  double strikes = 0;
+  Micros strikesAt = 0;
+  bool suspect = false;
+  bool probing = false;
+  bool answeredProbe = false;
+  std::optional<RequestId> trial;
+  Micros trialAt = 0;
+  Micros trialWait = kTrialWait;
+  Micros heardAt = 0;
+  Micros fullUntil = 0;
+  Micros readDoneAt = 0;
+  LoadReport report;
+  Micros reportAt = 0;
+  double ownAtReport = 0;             // own memory held there when it reported
+  double backlogAtReport = 0;         // own unfinished reading then, as time
+  double held = 0;                    // own streams' tokens
+  std::map<RequestId, Flight> waits;  // own attempts without a sign yet
+  std::deque<std::pair<Micros, double>> sends;
+  Micros tableFrom = 0;  // table entries older than this are void
+  int emptyPromises = 0;
+};
+
+struct Cached {
+  ServerId server;
+  double tokens = 0;
+  Micros at = 0;
+};
+
+enum class Purpose : std::uint64_t { deadline, look, tick };
+TimerId timerFor(RequestId id, Purpose purpose) {
+  return {id.value * 4 + static_cast<std::uint64_t>(purpose)};
+}
+
+void require(bool holds, const char* trouble) {
+  if (!holds) throw std::invalid_argument(trouble);
+}
+
+Settings checked(const Settings& s) {
+  require(!s.kinds.empty(), "kinds: at least one kind of server is needed");
+  require(s.routers >= 1, "routers: at least 1");
+  require(s.ownZone < s.zones, "ownZone: not among the zones");
+  require(s.maxAttempts >= 1, "maxAttempts: at least 1");
+  require(s.releaseWithin >= 0, "releaseWithin: negative");
+  require(s.coldFrom >= 0 && s.coldFrom <= 1, "coldFrom: not between 0 and 1");
+  require(s.warmWithin >= 0 && s.fallAfter >= 0, "warmWithin or fallAfter: negative");
+  require(s.fallMultiple >= 0, "fallMultiple: negative");
+  for (const auto& k : s.kinds) require(k.memoryTokens >= 0, "kinds.memoryTokens: negative");
+  for (const auto& c : s.classes) {
+    require(c.aim >= 0 && c.aimPerKiloToken >= 0, "classes.aim or aimPerKiloToken: negative");
+    require(c.effect != Effect::keyed || c.repeatWindow >= 0, "classes.repeatWindow: negative");
+  }
+  return s;
+}
+
+double smallestAim(const Settings& s) {
+  Micros aim = s.classes.empty() ? kSecond : std::numeric_limits<Micros>::max();
+  for (const auto& c : s.classes) aim = std::min(aim, std::max<Micros>(c.aim, 1000));
+  return asDouble(aim);
+}
+
+double tokenSlope(const Settings& s) {  // starting guess of the time for 1,000 tokens
+  double slope = 0;
+  for (const auto& c : s.classes) slope = std::max(slope, asDouble(c.aimPerKiloToken));
+  return slope > 0 ? slope : kPriorTokenShare * smallestAim(s) * 1000 / kPriorPrompt;
+}
+
+}  // namespace
+
+class Brain::Impl {
+ public:
+  Impl(const Settings& settings, std::uint64_t seed)
+      : set_(checked(settings)),
+        random_(seed),
+        aim_(smallestAim(settings)),
+        curve_(kPriorDelayShare * aim_, tokenSlope(settings)),
+        writeTime_(kWritePrior * aim_) {}
+
+  void handle(Micros now, const Event& event, std::vector<Action>& actions) {
+    now_ = std::max(now, now_);
+    out_ = &actions;
+    if (!ticking_) tick();
+    std::visit([this](const auto& e) { on(e); }, event);
+  }
+
+ private:
+  // ---- the list of servers ----
+
+  void on(const ServerList& list) {
+    subscribed_ = list.kind != ServerList::Kind::failed && list.kind != ServerList::Kind::remembered;
+    if (list.kind == ServerList::Kind::failed) return;
+    if (list.kind != ServerList::Kind::changes)
+      for (auto& [id, s] : servers_) s.listed = false;
+    for (const auto& entry : list.entries) update(entry);
+  }
+
+  void update(const ServerEntry& entry) {
+    Server& s = servers_[entry.id];
+    if (s.info.startedAt != entry.startedAt) {  // a restart: nothing that was known of it holds
+      s.tableFrom = now_;
+      s.speed = 1;
+      s.report = {};
+      s.reportAt = 0;
+      acquit(s);
+    }
+    s.info = entry;
+    s.listed = entry.state == ServerState::running;
+    const bool known = entry.kind && *entry.kind < set_.kinds.size();
+    s.role = known ? set_.kinds[*entry.kind].role : Role::writer;
+    s.memory = known ? set_.kinds[*entry.kind].memoryTokens : 0;
+  }
+
+  // ---- health, by symptom ----
+
+  void strike(ServerId id, double points, const char* symptom) {
+    Server& s = servers_[id];
+    s.strikes = s.strikes * std::exp(-asDouble(now_ - s.strikesAt) / kStrikeLife) + points;
+    s.strikesAt = now_;
+    if (s.strikes < kSuspect) return;
+    if (!s.suspect) say(id, "suspect", symptom);
+    if (s.suspect && now_ >= s.trialAt) s.trialWait = std::min(2 * s.trialWait, kTrialWaitMax);
+    s.suspect = true;
+    s.answeredProbe = false;
+    s.trialAt = now_ + s.trialWait + asMicros(asDouble(s.trialWait) * 0.2 * uniform());
+  }
+
+  void acquit(Server& s) {
+    if (s.suspect) say(s.info.id, "trusted again", "it answered");
+    s.suspect = false;
+    s.strikes = 0;
+    s.trialWait = kTrialWait;
+  }
+
+  // Silence: nothing at all since an attempt went there, for most of that attempt's patience. Guards
+  // against servers that take work and answer nothing, before the first time-out tells.
+  bool quiet(const Server& s) const {
+    return std::any_of(s.waits.begin(), s.waits.end(), [&](const auto& wait) {
+      const Flight& f = wait.second;
+      const double patience = f.stage == Stage::read ? kReadPatience : kWritePatience;
+      const double limit = kQuietShare * (patience * f.predicted + kPatienceFloor * aim_);
+      return s.heardAt <= f.sentAt && asDouble(now_ - f.sentAt) > limit;
+    });
+  }
+
+  // Many suspects in one zone at once are a cut, not many sick servers: the zone is left alone but for
+  // single trials. Never one's own zone.
+  bool cut(std::size_t zone) const {
+    if (zone == set_.ownZone || set_.zones < 2) return false;
+    int all = 0;
+    int bad = 0;
+    for (const auto& [id, s] : servers_) {
+      if (!s.listed || s.info.zone != zone) continue;
+      ++all;
+      bad += s.suspect || quiet(s) ? 1 : 0;
+    }
+    return bad >= 2 && bad >= kCutShare * all;
+  }
+
+  bool trusted(const Server& s, const Request& r) const {
+    if (s.suspect) {
+      const bool probed = !set_.mayProbe || s.answeredProbe;
+      return probed && !s.trial && now_ >= s.trialAt && r.kind.effect == Effect::safe && r.attempts == 0;
+    }
+    return !quiet(s) && !(s.info.zone && cut(*s.info.zone));
+  }
+
+  // ---- cold servers ----
+
+  double warmth(const Server& s) const {
+    const Micros age = now_ - s.info.startedAt;
+    if (s.info.startedAt <= 0 || age >= set_.warmWithin) return 1;
+    const double part = std::max(0.0, asDouble(age) / asDouble(set_.warmWithin));
+    return set_.coldFrom + (1 - set_.coldFrom) * part * part;
+  }
+
+  static double sent(const Server& s, Micros since) {
+    double sum = 0;
+    for (const auto& [at, work] : s.sends) sum += at >= since ? work : 0;
+    return sum;
+  }
+
+  // This router's part of what a cold server may get in any window: what a warm server of its role
+  // usually gets from here, times the told multiple, times the server's present share of its capacity.
+  bool coldRoom(const Server& s, double work) const {
+    const double warm = warmth(s);
+    if (warm >= 1 || set_.fallMultiple <= 0 || set_.fallAfter <= 0) return true;
+    double usual = 0;
+    int peers = 0;
+    for (const auto& [id, other] : servers_) {
+      if (!other.listed || other.role != s.role || warmth(other) < 1) continue;
+      usual += sent(other, now_ - kLoadHorizon);
+      ++peers;
+    }
+    usual *= asDouble(set_.fallAfter) / asDouble(kLoadHorizon) / std::max(1, peers);
+    const double before = sent(s, now_ - set_.fallAfter);
+    return before + work <= kColdSafety * set_.fallMultiple * warm * usual || before == 0;
+  }
+
+  // What a send weighs on a server: the mean prompt of its class.
+  double workOf(const Request& r) const {
+    const auto at = meanPrompt_.find(r.ask.requestClass.value_or(0));
+    return std::max(1.0, at == meanPrompt_.end() ? r.ask.promptTokens : at->second);
+  }
+
+  bool usable(const Server& s, const Request& r) const {
+    return s.listed && coldRoom(s, workOf(r)) && now_ >= s.fullUntil;
+  }
+
+  // ---- the prefix table ----
+
+  double cachedAt(const std::map<PrefixKey, std::vector<Cached>>& table, PrefixKey key,
+                  const Server& s) const {
+    const auto at = table.find(key);
+    if (key.value == 0 || at == table.end()) return 0;
+    for (const auto& c : at->second)
+      if (c.server == s.info.id && c.at >= s.tableFrom && now_ - c.at <= kTableLife) return c.tokens;
+    return 0;
+  }
+
+  double cached(const Request& r, const Server& s) const {
+    const double shared = std::min(cachedAt(shared_, r.ask.sharedBeginning, s), r.ask.sharedTokens);
+    return std::min(std::max(shared, cachedAt(sessions_, r.ask.session, s)), r.ask.promptTokens);
+  }
+
+  void remember(std::map<PrefixKey, std::vector<Cached>>& table, PrefixKey key, ServerId server,
+                double tokens) {
+    if (key.value == 0 || tokens <= 0 || (table.size() >= kTableKeys && !table.contains(key))) return;
+    auto& places = table[key];
+    std::erase_if(places, [&](const Cached& c) { return c.server == server || now_ - c.at > kTableLife; });
+    places.push_back({server, tokens, now_});
+  }
+
+  // A read tells how much it found. Broken promises in a row mean that the server lost its cache, by
+  // whatever cause: what the table says of it is void, so that no key is sent there for nothing.
+  void correct(const Request& r, const Flight& f, double found) {
+    Server& s = servers_[f.server];
+    const bool broken = f.promised > 0 && found < f.promised / 2;
+    s.emptyPromises = broken ? s.emptyPromises + 1 : 0;
+    if (s.emptyPromises >= 2) s.tableFrom = now_;
+    remember(shared_, r.ask.sharedBeginning, f.server, r.ask.sharedTokens);
+    remember(sessions_, r.ask.session, f.server, r.ask.promptTokens);
+  }
+
+  // ---- choosing a reader: least queue plus read ----
+
+  double speed(const Server& s) const {
+    return 1 + (s.speed - 1) * std::exp(-asDouble(now_ - s.speedAt) / kSpeedLife);
+  }
+
+  void learnSpeed(Server& s, double ratio) {
+    const double sample = std::clamp(ratio, kSpeedMin, kSpeedMax);
+    s.speed = std::clamp(speed(s) + kSpeedWeight * (sample - speed(s)), kSpeedMin, kSpeedMax);
+    s.speedAt = now_;
+  }
+
+  double backlog(const Server& s) const {  // own unfinished reads, as time
+    double sum = 0;
+    Micros first = now_;
+    for (const auto& [id, f] : s.waits) {
+      sum += f.work;
+      if (f.work > 0) first = std::min(first, f.sentAt);
+    }
+    return std::max(0.0, sum - asDouble(now_ - std::max(first, s.readDoneAt)));
+  }
+
+  // Reads of others, from the server's report: queued reads at an average read each.
+  std::optional<double> reported(const Server& s) const {
+    if (s.reportAt == 0) return std::nullopt;
+    const double reads = s.report.queuedKiloTokens
+                             ? *s.report.queuedKiloTokens * 1000 / std::max(1.0, readTokens_)
+                             : s.report.queuedRequests.value_or(0);
+    const double others = std::max(0.0, reads * readTime_ - s.backlogAtReport);
+    return others * std::exp(-asDouble(now_ - s.reportAt) / kReportLife);
+  }
+
+  double averageReported() const {
+    double sum = 0;
+    int heard = 0;
+    for (const auto& [id, s] : servers_) {
+      if (s.role == Role::writer || !s.listed || !reported(s)) continue;
+      sum += *reported(s);
+      ++heard;
+    }
+    return heard > 0 ? sum / heard : 0;
+  }
+
+  double readWork(const Request& r, const Server& s) const {
+    return curve_.predict(r.ask.promptTokens, cached(r, s));
+  }
+
+  double readCost(const Request& r, const Server& s, double unheard) const {
+    return (backlog(s) + reported(s).value_or(unheard) + readWork(r, s)) * speed(s);
+  }
+
+  static bool failedAt(const Request& r, ServerId id) {
+    return std::find(r.failed.begin(), r.failed.end(), id) != r.failed.end();
+  }
+
+  // The servers of a role that may take the request: trusted ones it has not failed at; failing that,
+  // trusted ones; failing that, any on the list, so that with everything under suspicion the design decides.
+  std::vector<const Server*> candidates(const Request& r, Role role) const {
+    for (int mercy = 0; mercy < 3; ++mercy) {
+      std::vector<const Server*> found;
+      for (const auto& [id, s] : servers_)
+        if (s.role == role && usable(s, r) && (mercy >= 1 || !failedAt(r, id)) &&
+            (mercy >= 2 || trusted(s, r)))
+          found.push_back(&s);
+      if (!found.empty()) return found;
+    }
+    return {};
+  }
+
+  template <class Score>
+  static const Server* least(const std::vector<const Server*>& list, Score score) {
+    const Server* best = nullptr;
+    double bestScore = 0;
+    for (const Server* s : list) {
+      const double value = score(*s);
+      if (best != nullptr && value >= bestScore) continue;
+      best = s;
+      bestScore = value;
+    }
+    return best;
+  }
+
+  const Server* hashed(const Request& r, Role role) const {
+    const PrefixKey key = r.ask.sharedBeginning.value != 0 ? r.ask.sharedBeginning : r.ask.session;
+    const Server* best = nullptr;
+    for (const auto& [id, s] : servers_)
+      if (s.role == role && s.listed && (!best || rendezvous(key, id) > rendezvous(key, best->info.id)))
+        best = &s;
+    return best;
+  }
+
+  const Server* pickReader(const Request& r, Role role) const {
+    const auto list = candidates(r, role);
+    if (list.empty()) return nullptr;
+    const double unheard = averageReported();
+    const bool known = std::any_of(list.begin(), list.end(), [&](auto* s) { return cached(r, *s) > 0; });
+    const Server* home = known ? nullptr : hashed(r, role);
+    if (home && std::find(list.begin(), list.end(), home) != list.end() &&
+        readCost(r, *home, unheard) <= kHashGuard * asDouble(r.aimAt - now_))
+      return home;
+    return least(list, [&](const Server& s) { return readCost(r, s, unheard); });
+  }
+
+  // ---- choosing a writer: most room in the reader's cell ----
+
+  double tokensHeld(const Request& r) const {
+    const double perToken = std::max(1.0, asDouble(r.kind.tokenAim));
+    const double output =
+        r.ask.expectedOutput > 0 ? asDouble(r.ask.expectedOutput) / perToken : kOutputGuess * r.ask.maxOutput;
+    return r.ask.promptTokens + output;
+  }
+
+  // Share of its memory that a server holds: by its report, moved on by what was sent and ended since;
+  // without a report, own streams as this router's part of all.
+  double fill(const Server& s, double more) const {
+    const double memory = s.memory > 0 ? s.memory : 1e5;
+    const double routers = asDouble(static_cast<Micros>(set_.routers));
+    if (s.reportAt == 0 || !s.report.memoryShare) return (s.held * routers + more) / memory;
+    return *s.report.memoryShare + (s.held - s.ownAtReport + more) / memory;
+  }
+
+  const Server* pickWriter(const Request& r, bool anyRoom) const {
+    const double more = tokensHeld(r);
+    const auto cell = r.stateAt->cell;
+    auto list = candidates(r, Role::writer);
+    const auto roomy = [&](const Server& s) { return anyRoom || fill(s, more) <= kRoom; };
+    const auto score = [&](const Server& s) { return fill(s, more) * speed(s); };
+    for (const bool near : {true, false}) {
+      auto part = list;
+      std::erase_if(part, [&](auto* s) { return (near && s->info.cell != cell) || !roomy(*s); });
+      if (const Server* best = least(part, score)) return best;
+    }
+    auto mixed = candidates(r, Role::both);
+    std::erase_if(mixed, [&](auto* s) { return !roomy(*s); });
+    return least(mixed, score);
+  }
+
+  // ---- a request's way ----
+
+  void on(const RequestArrived& ask) {
+    if (requests_.contains(ask.id)) return;
+    Request& r = requests_[ask.id];
+    r.ask = ask;
+    if (!ask.requestClass || *ask.requestClass >= set_.classes.size()) return end(r, false);
+    r.kind = set_.classes[*ask.requestClass];
+    r.aimAt = now_ + r.kind.aim + asMicros(asDouble(r.kind.aimPerKiloToken) * ask.promptTokens / 1000);
+    r.deadline = now_ + ask.remaining;
+    double& mean = meanPrompt_.try_emplace(*ask.requestClass, ask.promptTokens).first->second;
+    mean += 0.05 * (ask.promptTokens - mean);
+    setTimer(timerFor(ask.id, Purpose::deadline), std::max<Micros>(0, ask.remaining));
+    advance(r);
+  }
+
+  // Decides what comes next for a request with no attempt out.
+  void advance(Request& r) {
+    if (now_ >= r.deadline || r.attempts >= set_.maxAttempts || !mayTry(r)) return end(r, true);
+    if (r.stateAt) return write(r);
+    if (takesWhole(r) && whole(r, Role::both)) return;
+    if (const Server* reader = pickReader(r, Role::reader)) return read(r, *reader);
+    if (whole(r, Role::both) || (set_.writersRead && whole(r, Role::writer))) return;
+    look(r, asMicros(aim_ / kHoldLooks));
+  }
+
+  // Rule 2: an unsafe request that may have run is never tried again; a keyed one only while remembered.
+  bool mayTry(const Request& r) const {
+    if (!r.riskAt || r.kind.effect == Effect::safe) return true;
+    return r.kind.effect == Effect::keyed && now_ - r.riskSince < r.kind.repeatWindow;
+  }
+
+  bool inScope(const Request& r, const Server& s) const {
+    if (!r.riskAt || r.kind.effect == Effect::safe || r.kind.scope == RepeatScope::everywhere) return true;
+    const auto& risk = *r.riskAt;
+    return r.kind.scope == RepeatScope::zone ? s.info.zone == risk.zone : s.info.cell == risk.cell;
+  }
+
+  void read(Request& r, const Server& s) {
+    Flight f{.server = s.info.id, .stage = Stage::read};
+    f.promised = cached(r, s);
+    f.work = readWork(r, s);
+    f.predicted = readCost(r, s, averageReported());
+    if (r.attempts == 0 && f.predicted > asDouble(r.deadline - now_)) return end(r, true);
+    send(r, f, patience(r, f, kReadPatience));
+  }
+
+  void write(Request& r) {
+    const Micros limit = set_.releaseWithin > 0 ? set_.releaseWithin : asMicros(aim_);
+    const bool lastLook = asDouble(now_ - r.stateSince) >= kHoldShare * asDouble(limit);
+    const Server* s = pickWriter(r, lastLook);
+    if (s && !inScope(r, *s)) s = nullptr;
+    if (!s) return lastLook ? end(r, true) : look(r, limit / kHoldLooks);
+    Flight f{.server = s->info.id, .stage = Stage::write};
+    f.predicted = writeTime_ * speed(*s);
+    f.held = tokensHeld(r);
+    send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
+  }
+
+  // Mixed servers take their share whole: the part of all answering memory that is theirs.
+  bool takesWhole(const Request& r) {
+    if (r.attempts > 0) return false;
+    double mixed = 0;
+    double writers = 0;
+    for (const auto& [id, s] : servers_) {
+      if (!s.listed || s.role == Role::reader) continue;
+      (s.role == Role::both ? mixed : writers) += std::max(1.0, s.memory);
+    }
+    if (mixed <= 0) return false;
+    mixedCredit_ += kMixedWorth * mixed / (kMixedWorth * mixed + writers);
+    if (mixedCredit_ < 1) return false;
+    mixedCredit_ -= 1;
+    return true;
+  }
+
+  bool whole(Request& r, Role role) {
+    const Server* s = pickReader(r, role);
+    if (!s || !inScope(r, *s)) return false;
+    Flight f{.server = s->info.id, .stage = Stage::whole};
+    f.promised = cached(r, *s);
+    f.work = readWork(r, *s);
+    f.predicted = readCost(r, *s, averageReported()) + writeTime_;
+    f.held = tokensHeld(r);
+    send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
+    return true;
+  }
+
+  // A time-out from the predicted time, leaving room for one more attempt where time allows.
+  Micros patience(const Request& r, const Flight& f, double multiple) const {
+    const double left = asDouble(r.deadline - now_);
+    const double wanted = multiple * f.predicted + kPatienceFloor * aim_;
+    const double spare = left - f.predicted - writeTime_;
+    const double cap =
+        r.attempts + 1 >= set_.maxAttempts ? left : std::min(wanted, std::max(spare, left / 2));
+    return std::max<Micros>(1, asMicros(std::min(cap, left)));
+  }
+
+  void send(Request& r, Flight f, Micros timeout) {
+    Server& s = servers_[f.server];
+    f.number = r.attempts++;
+    f.sentAt = now_;
+    f.trial = s.suspect;
+    if (f.trial) s.trial = r.ask.id;
+    s.held += f.held;
+    s.waits[r.ask.id] = f;
+    s.sends.emplace_back(now_, workOf(r));
+    r.out = f;
+    out_->push_back(Send{r.ask.id, f.server, timeout});
+  }
+
+  void on(const StreamStarted& event) {
+    const auto at = requests_.find(event.id);
+    if (at == requests_.end() || !at->second.out || at->second.out->number != event.attempt) return;
+    Request& r = at->second;
+    Flight& f = *r.out;
+    f.started = true;
+    r.stateAt.reset();
+    Server& s = servers_[f.server];
+    heard(s, r.ask.id);
+    const double took = asDouble(now_ - f.sentAt);
+    learnSpeed(s, took / std::max(1.0, f.predicted));
+    if (f.stage == Stage::write)
+      writeTime_ += kWriteWeight * (std::min(took, kOutlier * writeTime_) - writeTime_);
+  }
+
+  void heard(Server& s, RequestId id) {
+    s.waits.erase(id);
+    if (s.trial == id) s.trial.reset();
+    s.heardAt = now_;
+    acquit(s);
+  }
+
+  void on(const AttemptEnded& event) {
+    const auto at = requests_.find(event.id);
+    if (at == requests_.end() || !at->second.out || at->second.out->number != event.attempt) return;
+    Request& r = at->second;
+    const Flight f = *r.out;
+    r.out.reset();
+    Server& s = servers_[f.server];
+    if (event.report) note(s, *event.report);
+    s.held = std::max(0.0, s.held - f.held);
+    judge(r, s, f, event);
+    s.waits.erase(r.ask.id);
+    if (s.trial == r.ask.id) s.trial.reset();
+    r.stateSince = now_;
+    if (event.last) r.ended = true;
+    if (r.ended) return forget(r);
+    advance(r);
+  }
+
+  void note(Server& s, const LoadReport& report) {
+    s.report = report;
+    s.reportAt = now_;
+    s.ownAtReport = s.held;
+    s.backlogAtReport = backlog(s);
+  }
+
+  void judge(Request& r, Server& s, const Flight& f, const AttemptEnded& event) {
+    const bool mayHaveRun = f.stage != Stage::read;
+    switch (event.outcome) {
+      case Outcome::readDone:
+        return readDone(r, s, f, event.foundTokens);
+      case Outcome::served:
+        heard(s, r.ask.id);
+        if (f.stage == Stage::whole) correct(r, f, event.foundTokens);
+        return;
+      case Outcome::full:
+        return full(r, s, event.stateMissing);
+      case Outcome::notSent:
+        return;
+      case Outcome::connectFailed:
+        strike(f.server, kStrikeConnect, "no connection");
+        break;
+      case Outcome::reset:
+        strike(f.server, kStrikeReset, "reset");
+        break;
+      case Outcome::error:
+        strike(f.server, kStrikeError, "error");
+        break;
+      case Outcome::timedOut:
+        strike(f.server, s.heardAt > f.sentAt ? kStrikeSlow : kStrikeTimeout, "silence");
+        learnSpeed(s, kSpeedMax);
+        break;
+      case Outcome::cancelled:
+        break;
+    }
+    r.failed.push_back(f.server);
+    if (mayHaveRun && event.outcome != Outcome::connectFailed && !r.riskAt) {
+      r.riskAt = servers_[f.server].info;
+      r.riskSince = f.sentAt;
+    }
+  }
+
+  void readDone(Request& r, Server& s, const Flight& f, double found) {
+    const double took = asDouble(now_ - f.sentAt);
+    const double alone = asDouble(now_ - std::max(f.sentAt, s.readDoneAt));
+    curve_.learn(r.ask.promptTokens, found, alone / speed(s));
+    learnSpeed(s, took / std::max(1.0, f.predicted / speed(s)));
+    readTime_ += readTime_ == 0 ? alone : 0.05 * (alone - readTime_);
+    readTokens_ += readTokens_ == 0 ? r.ask.promptTokens : 0.05 * (r.ask.promptTokens - found - readTokens_);
+    s.readDoneAt = now_;
+    heard(s, r.ask.id);
+    correct(r, f, found);
+    r.stateAt = s.info;
+  }
+
+  // Full is an answer: the server lives. Without a state it is the state that failed, by its reader's
+  // death, a cut or a release, so the writer is not blamed and the prompt is read anew elsewhere.
+  void full(Request& r, Server& s, bool stateMissing) {
+    s.heardAt = now_;
+    if (stateMissing && r.stateAt) {
+      r.failed.push_back(r.stateAt->id);
+      r.stateAt.reset();
+      return;
+    }
+    s.fullUntil = now_ + asMicros(writeTime_);
+    r.failed.push_back(s.info.id);
+  }
+
+  void look(Request& r, Micros delay) {
+    setTimer(timerFor(r.ask.id, Purpose::look), std::max<Micros>(1000, delay));
+  }
+
+  void on(const TimerFired& event) {
+    const auto purpose = static_cast<Purpose>(event.id.value % 4);
+    if (purpose == Purpose::tick) return tick();
+    const auto at = requests_.find(RequestId{event.id.value / 4});
+    if (at == requests_.end() || at->second.ended) return;
+    Request& r = at->second;
+    if (purpose == Purpose::look && !r.out) return advance(r);
+    if (purpose == Purpose::deadline && !(r.out && r.out->started)) end(r, true);
+  }
+
+  void on(const RequestGone& event) {
+    const auto at = requests_.find(event.id);
+    if (at == requests_.end()) return;
+    at->second.ended = true;
+    forget(at->second);
+  }
+
+  // ---- ends: one final answer, then nothing held ----
+
+  // Refusing promises that a retry is harmless: only where nothing may have run.
+  void end(Request& r, bool known) {
+    const bool harmless = r.kind.effect == Effect::safe ||
+                          (r.kind.effect == Effect::keyed && r.kind.scope == RepeatScope::everywhere) ||
+                          (!r.riskAt && (!r.out || r.out->stage == Stage::read));
+    const bool readOut = r.out && r.kind.effect != Effect::safe;
+    if (known && harmless && !readOut)
+      out_->push_back(Refuse{r.ask.id});
+    else
+      out_->push_back(Fail{r.ask.id});
+    r.ended = true;
+    forget(r);
+  }
+
+  void forget(Request& r) {
+    if (r.out && !r.out->started && set_.mayCancel) out_->push_back(Cancel{r.ask.id, r.out->number});
+    out_->push_back(Release{r.ask.id});
+    if (!r.out) requests_.erase(r.ask.id);  // else at the outcome of what is out, which may leave a state
+  }
+
+  // ---- probes, lists to be asked for, memory ----
+
+  void on(const ProbeEnded& event) {
+    const auto at = servers_.find(event.server);
+    if (at == servers_.end()) return;
+    Server& s = at->second;
+    s.probing = false;
+    if (event.report) note(s, *event.report);
+    s.answeredProbe = event.ok;
+    if (!event.ok) strike(event.server, kStrikeConnect, "probe unanswered");
+  }
+
+  void tick() {
+    ticking_ = true;
+    setTimer(timerFor({0}, Purpose::tick), kTick);
+    if (set_.discovery == Discovery::ask && !subscribed_) out_->push_back(Subscribe{});
+    for (auto& [id, s] : servers_) {
+      while (!s.sends.empty() && s.sends.front().first < now_ - kLoadHorizon) s.sends.pop_front();
+      if (!set_.mayProbe || !s.suspect || !s.listed || s.probing || s.answeredProbe || now_ < s.trialAt)
+        continue;
+      s.probing = true;
+      out_->push_back(Probe{id});
+    }
+    std::erase_if(servers_, [&](const auto& item) {
+      return !item.second.listed && item.second.waits.empty() &&
+             item.second.info.state == ServerState::gone && item.second.held <= 0;
+    });
+    for (auto* table : {&shared_, &sessions_})
+      std::erase_if(*table, [&](const auto& item) { return now_ - item.second.back().at > kTableLife; });
+  }
+
+  void setTimer(TimerId id, Micros delay) { out_->push_back(SetTimer{id, delay}); }
+  void say(ServerId id, const std::string& what, const std::string& why) {
+    out_->push_back(Log{"server " + std::to_string(id.value) + " " + what + ": " + why});
+  }
+  double uniform() { return asDouble(static_cast<Micros>(random_() >> 11)) / 9007199254740992.0; }
+
+  Settings set_;
+  std::mt19937_64 random_;
+  double aim_;  // smallest of the classes' aims
+  ReadCurve curve_;
+  double writeTime_;  // usual time from a send to a writer to the first token
+  double readTime_ = 0;
+  double readTokens_ = 0;
+  double mixedCredit_ = 0;
+  bool subscribed_ = false;
+  bool ticking_ = false;
+  Micros now_ = 0;
+  std::vector<Action>* out_ = nullptr;
+  std::map<ServerId, Server> servers_;
+  std::map<RequestId, Request> requests_;
+  std::map<PrefixKey, std::vector<Cached>> shared_;
+  std::map<PrefixKey, std::vector<Cached>> sessions_;
+  std::map<std::size_t, double> meanPrompt_;
+};
+
+Brain::Brain(const Settings& settings, std::uint64_t seed) : impl_(std::make_unique<Impl>(settings, seed)) {}
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+Brain::~Brain() = default;
+
+void Brain::handle(Micros now, const Event& event, std::vector<Action>& actions) {
+  impl_->handle(now, event, actions);
+}
+
+}  // namespace garnethook
