Cold servers: budget from finished work at the least told share

Also guards against retry storms of clients; could starve a cold server when hardly anything finishes.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -183,12 +183,13 @@
   Micros readDoneAt = 0;
   LoadReport report;
   Micros reportAt = 0;
-  double ownAtReport = 0;             // own memory held there when it reported
-  double backlogAtReport = 0;         // own unfinished reading then, as time
-  double held = 0;                    // own streams' tokens
-  std::map<RequestId, Flight> waits;  // own attempts without a sign yet
-  std::deque<std::pair<Micros, double>> sends;
-  Micros tableFrom = 0;  // table entries older than this are void
+  double ownAtReport = 0;                          // own memory held there when it reported
+  double backlogAtReport = 0;                      // own unfinished reading then, as time
+  double held = 0;                                 // own streams' tokens
+  std::map<RequestId, Flight> waits;               // own attempts without a sign yet
+  std::deque<std::pair<Micros, double>> sends;     // work sent, of late
+  std::deque<std::pair<Micros, double>> finished;  // work finished, of late
+  Micros tableFrom = 0;                            // table entries older than this are void
   int emptyPromises = 0;
 };
 
@@ -337,34 +338,31 @@
 
   // ---- cold servers ----
 
-  double warmth(const Server& s) const {
-    const Micros age = now_ - s.info.startedAt;
-    if (s.info.startedAt <= 0 || age >= set_.warmWithin) return 1;
-    const double part = std::max(0.0, asDouble(age) / asDouble(set_.warmWithin));
-    return set_.coldFrom + (1 - set_.coldFrom) * part * part;
+  bool cold(const Server& s) const {
+    return s.info.startedAt > 0 && now_ - s.info.startedAt < set_.warmWithin;
   }
 
-  static double sent(const Server& s, Micros since) {
-    double sum = 0;
-    for (const auto& [at, work] : s.sends) sum += at >= since ? work : 0;
-    return sum;
+  static double sum(const std::deque<std::pair<Micros, double>>& ledger, Micros since) {
+    double total = 0;
+    for (const auto& [at, work] : ledger) total += at >= since ? work : 0;
+    return total;
   }
 
-  // This router's part of what a cold server may get in any window: what a warm server of its role
-  // usually gets from here, times the told multiple, times the server's present share of its capacity.
+  // This router's part of what a cold server may get in any window: what warm servers of its role were
+  // seen to finish for this router, times the told multiple, times the least share of its capacity that is
+  // told, for as long as it may stay cold. Finished work, not sent: a jam sends far more than anyone can do.
   bool coldRoom(const Server& s, double work) const {
-    const double warm = warmth(s);
-    if (warm >= 1 || set_.fallMultiple <= 0 || set_.fallAfter <= 0) return true;
+    if (!cold(s) || set_.fallMultiple <= 0 || set_.fallAfter <= 0) return true;
     double usual = 0;
     int peers = 0;
     for (const auto& [id, other] : servers_) {
-      if (!other.listed || other.role != s.role || warmth(other) < 1) continue;
-      usual += sent(other, now_ - kLoadHorizon);
+      if (!other.listed || other.role != s.role || cold(other)) continue;
+      usual += sum(other.finished, now_ - kLoadHorizon);
       ++peers;
     }
     usual *= asDouble(set_.fallAfter) / asDouble(kLoadHorizon) / std::max(1, peers);
-    const double before = sent(s, now_ - set_.fallAfter);
-    return before + work <= kColdSafety * set_.fallMultiple * warm * usual || before == 0;
+    const double before = sum(s.sends, now_ - set_.fallAfter);
+    return before + work <= kColdSafety * set_.fallMultiple * set_.coldFrom * usual || before == 0;
   }
 
   // What a send weighs on a server: the mean prompt of its class.
@@ -694,6 +692,8 @@
     s.waits.erase(r.ask.id);
     if (s.trial == r.ask.id) s.trial.reset();
     r.stateSince = now_;
+    if (event.outcome == Outcome::readDone || event.outcome == Outcome::served)
+      s.finished.emplace_back(now_, workOf(r));
     if (event.last) r.ended = true;
     if (r.ended) return forget(r);
     advance(r);
@@ -828,7 +828,8 @@
     setTimer(timerFor({0}, Purpose::tick), kTick);
     if (set_.discovery == Discovery::ask && !subscribed_) out_->push_back(Subscribe{});
     for (auto& [id, s] : servers_) {
-      while (!s.sends.empty() && s.sends.front().first < now_ - kLoadHorizon) s.sends.pop_front();
+      for (auto* ledger : {&s.sends, &s.finished})
+        while (!ledger->empty() && ledger->front().first < now_ - kLoadHorizon) ledger->pop_front();
       if (!set_.mayProbe || !s.suspect || !s.listed || s.probing || s.answeredProbe || now_ < s.trialAt)
         continue;
       s.probing = true;
