Attempts end on silence, not on slowness

Also guards against slow cells and cold servers; could harm where a server answers some requests and swallows others.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -144,6 +144,7 @@
   double predicted = 0;  // predicted time to the next sign, queue included
   double promised = 0;   // tokens that the table said were cached
   double held = 0;       // tokens of memory at a writer
+  Micros patience = 0;   // how long silence is borne; 0: until the deadline
   bool started = false;
   bool trial = false;
 };
@@ -199,7 +200,7 @@
   Micros at = 0;
 };
 
-enum class Purpose : std::uint64_t { deadline, look, tick };
+enum class Purpose : std::uint64_t { deadline, look, tick, watch };
 TimerId timerFor(RequestId id, Purpose purpose) {
   return {id.value * 4 + static_cast<std::uint64_t>(purpose)};
 }
@@ -650,11 +651,14 @@
     f.sentAt = now_;
     f.trial = s.suspect;
     if (f.trial) s.trial = r.ask.id;
+    f.patience = timeout;
     s.held += f.held;
     s.waits[r.ask.id] = f;
     s.sends.emplace_back(now_, workOf(r));
     r.out = f;
-    out_->push_back(Send{r.ask.id, f.server, timeout});
+    const bool watched = set_.mayCancel && timeout > 0;
+    out_->push_back(Send{r.ask.id, f.server, watched ? 0 : timeout});
+    if (watched) setTimer(timerFor(r.ask.id, Purpose::watch), timeout);
   }
 
   void on(const StreamStarted& event) {
@@ -728,12 +732,11 @@
       case Outcome::error:
         strike(f.server, kStrikeError, "error");
         break;
+      case Outcome::cancelled:
       case Outcome::timedOut:
         strike(f.server, s.heardAt > f.sentAt ? kStrikeSlow : kStrikeTimeout, "silence");
         learnSpeed(s, kSpeedMax);
         break;
-      case Outcome::cancelled:
-        break;
     }
     r.failed.push_back(f.server);
     if (mayHaveRun && event.outcome != Outcome::connectFailed && !r.riskAt) {
@@ -779,9 +782,21 @@
     if (at == requests_.end() || at->second.ended) return;
     Request& r = at->second;
     if (purpose == Purpose::look && !r.out) return advance(r);
+    if (purpose == Purpose::watch) return watch(r);
     if (purpose == Purpose::deadline && !(r.out && r.out->started)) end(r, true);
   }
 
+  // Patience has run out. A server that gave a sign since is busy, not sick: giving up on it would leave
+  // its work behind as waste and make a jam worse, so only silence ends the attempt.
+  void watch(Request& r) {
+    if (!r.out || r.out->started || r.out->patience == 0) return;
+    const Micros due = r.out->sentAt + r.out->patience;
+    if (now_ < due || servers_[r.out->server].heardAt > r.out->sentAt)
+      return setTimer(timerFor(r.ask.id, Purpose::watch), std::max(due - now_, r.out->patience / 2));
+    out_->push_back(Cancel{r.ask.id, r.out->number});
+    r.out->patience = 0;
+  }
+
   void on(const RequestGone& event) {
     const auto at = requests_.find(event.id);
     if (at == requests_.end()) return;
