--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -63,8 +63,14 @@
 // Writers: memory share up to which there is room, and how a full answer weighs.
 constexpr double kRoom = 0.95;
 constexpr double kOutputGuess = 0.5;  // of the maximum output, where no hint is given
-// Mixed servers: how much of a writer's worth of memory their memory counts, since they read as well.
-constexpr double kMixedWorth = 0.5;
+// Mixed servers: share of their memory's part that they get: at the start, at least, and its steps up for
+// each timely first token and down for each late one.
+constexpr double kShareStart = 0.3;
+constexpr double kShareMin = 0.05;
+constexpr double kShareRise = 0.005;
+constexpr double kShareFall = 0.9;
+constexpr double kShareTimely = 0.4;  // of the aim: what counts as timely there
+constexpr double kMixedCredit = 3;    // requests of their share that may be made up later
 // Held states: share of the release time that may pass before the last attempt, and how often to look.
 constexpr double kHoldShare = 0.7;
 constexpr int kHoldLooks = 10;
@@ -607,7 +613,9 @@
     send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
   }
 
-  // Mixed servers take their share whole: the part of all answering memory that is theirs.
+  // Mixed servers take their share whole: at most the part of all answering memory that is theirs, scaled
+  // by how their answers went of late. Reading slows their running answers, so only prompts that cost them
+  // no more than the mean read count.
   bool takesWhole(const Request& r) {
     if (r.attempts > 0) return false;
     double mixed = 0;
@@ -617,12 +625,19 @@
       (s.role == Role::both ? mixed : writers) += std::max(1.0, s.memory);
     }
     if (mixed <= 0) return false;
-    mixedCredit_ += kMixedWorth * mixed / (kMixedWorth * mixed + writers);
+    mixedCredit_ = std::min(kMixedCredit, mixedCredit_ + mixedShare_ * mixed / (mixed + writers));
     if (mixedCredit_ < 1) return false;
+    const Server* s = pickReader(r, Role::both);
+    if (!s || readWork(r, *s) > readTime_) return false;
     mixedCredit_ -= 1;
     return true;
   }
 
+  void learnShare(bool onTime) {
+    mixedShare_ =
+        onTime ? std::min(1.0, mixedShare_ + kShareRise) : std::max(kShareMin, mixedShare_ * kShareFall);
+  }
+
   bool whole(Request& r, Role role) {
     const Server* s = pickReader(r, role);
     if (!s || !inScope(r, *s)) return false;
@@ -872,6 +887,7 @@
   double readTime_ = 0;
   double readTokens_ = 0;
   double mixedCredit_ = 0;
+  double mixedShare_ = kShareStart;
   bool subscribed_ = false;
   bool ticking_ = false;
   Micros now_ = 0;
