--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -40,6 +40,8 @@
 constexpr double kReportLife = 1e6;
 // Guard of the hashed reader: share of the time left to the aim that its queue may take.
 constexpr double kHashGuard = 0.6;
+// Hope: multiple of the time left to the aim up to which a first token is worth trying for.
+constexpr double kHope = 1.2;
 // Time-outs: multiple of the predicted time plus a share of the aim.
 constexpr double kReadPatience = 3;
 constexpr double kWritePatience = 5;
@@ -554,6 +556,18 @@
     return least(mixed, score);
   }
 
+  // Expected time to a first token once read: at the quickest writer that the cell's states may go to.
+  double writeCost(std::uint64_t cell) const {
+    double near = 0;
+    double far = 0;
+    for (const auto& [id, s] : servers_) {
+      if (!s.listed || s.suspect || s.role != Role::writer) continue;
+      double& best = s.info.cell == cell ? near : far;
+      best = best == 0 ? speed(s) : std::min(best, speed(s));
+    }
+    return writeTime_ * (near > 0 ? near : far > 0 ? far : 1);
+  }
+
   // ---- a request's way ----
 
   void on(const RequestArrived& ask) {
@@ -597,7 +611,10 @@
     f.promised = cached(r, s);
     f.work = readWork(r, s);
     f.predicted = readCost(r, s, averageReported());
-    if (r.attempts == 0 && f.predicted > asDouble(r.deadline - now_)) return end(r, true);
+    // Without hope of a timely first token a request only makes those behind it late as well. Refusing it
+    // is cheap, and its client may come again. Guards against every jam, whatever made it.
+    const double total = f.predicted + writeCost(s.info.cell);
+    if (r.attempts == 0 && total > kHope * asDouble(r.aimAt - now_)) return end(r, true);
     send(r, f, patience(r, f, kReadPatience));
   }
 
@@ -728,25 +745,16 @@
   void judge(Request& r, Server& s, const Flight& f, const AttemptEnded& event) {
     const bool mayHaveRun = f.stage != Stage::read;
     switch (event.outcome) {
-      case Outcome::readDone:
-        return readDone(r, s, f, event.foundTokens);
+      case Outcome::readDone: return readDone(r, s, f, event.foundTokens);
       case Outcome::served:
         heard(s, r.ask.id);
         if (f.stage == Stage::whole) correct(r, f, event.foundTokens);
         return;
-      case Outcome::full:
-        return full(r, s, event.stateMissing);
-      case Outcome::notSent:
-        return;
-      case Outcome::connectFailed:
-        strike(f.server, kStrikeConnect, "no connection");
-        break;
-      case Outcome::reset:
-        strike(f.server, kStrikeReset, "reset");
-        break;
-      case Outcome::error:
-        strike(f.server, kStrikeError, "error");
-        break;
+      case Outcome::full: return full(r, s, event.stateMissing);
+      case Outcome::notSent: return;
+      case Outcome::connectFailed: strike(f.server, kStrikeConnect, "no connection"); break;
+      case Outcome::reset: strike(f.server, kStrikeReset, "reset"); break;
+      case Outcome::error: strike(f.server, kStrikeError, "error"); break;
       case Outcome::cancelled:
       case Outcome::timedOut:
         strike(f.server, s.heardAt > f.sentAt ? kStrikeSlow : kStrikeTimeout, "silence");
