--- /dev/null
+++ b/tests/reading_test.cpp
@@ -0,0 +1,209 @@
+// Where a prompt is read: the table, the curve, the queue.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "driver.h"
+
+namespace garnethook::test {
+namespace {
+
+std::vector<ServerEntry> fleet() {
+  return {server(1, kReader, 0), server(2, kReader, 0), server(3, kReader, 1), server(11, kWriter, 0),
+          server(12, kWriter, 0), server(13, kWriter, 1)};
+}
+
+TEST(Reading, UnknownKeysMeetAtOneReaderWhateverTheSeed) {
+  std::set<std::uint64_t> readers;
+  for (std::uint64_t key = 1; key <= 20; ++key) {
+    Driver a(settings(), 1);
+    Driver b(settings(), 99);
+    for (Driver* d : {&a, &b}) {
+      d->list(fleet());
+      auto ask = d->request(1);
+      ask.sharedBeginning = {key};
+      ask.sharedTokens = 800;
+      d->give(ask);
+    }
+    EXPECT_EQ(a.sentTo(1), b.sentTo(1));
+    readers.insert(a.sentTo(1));
+  }
+  EXPECT_EQ(readers, (std::set<std::uint64_t>{1, 2, 3}));
+}
+
+TEST(Reading, GoesBackToWhereTheSessionIsCached) {
+  Driver d(settings());
+  d.list(fleet());
+  auto first = d.request(1);
+  first.promptTokens = 4000;
+  const auto reader = d.run(first, 240 * kMs);
+  auto next = d.request(2);
+  next.session = first.session;
+  next.promptTokens = 4400;
+  d.give(next);
+  EXPECT_EQ(d.sentTo(2), reader);
+}
+
+TEST(Reading, SharedBeginningIsFoundByOtherSessions) {
+  Driver d(settings());
+  d.list(fleet());
+  auto first = d.request(1);
+  first.sharedBeginning = {5};
+  first.sharedTokens = 3500;
+  first.promptTokens = 4000;
+  const auto reader = d.run(first, 240 * kMs);
+  auto other = d.request(2);
+  other.sharedBeginning = first.sharedBeginning;
+  other.sharedTokens = 3500;
+  other.promptTokens = 3900;
+  d.give(other);
+  EXPECT_EQ(d.sentTo(2), reader);
+}
+
+TEST(Reading, QueueOutweighsASmallCachedPart) {
+  Driver d(settings());
+  d.list(fleet());
+  auto first = d.request(1);
+  first.promptTokens = 4000;
+  const auto reader = d.run(first, 240 * kMs);
+  for (std::uint64_t id = 2; id <= 3; ++id) {  // two long reads of the same session fill that reader
+    auto busy = d.request(id);
+    busy.session = first.session;
+    busy.promptTokens = 9000;
+    d.give(busy);
+  }
+  auto next = d.request(9);
+  next.session = first.session;
+  next.promptTokens = 4100;
+  d.give(next);
+  EXPECT_NE(d.sentTo(9), reader);
+}
+
+TEST(Reading, TableEntriesEndWithTheirLife) {
+  Driver d(settings());
+  d.list(fleet());
+  auto ask = d.request(1);
+  ask.promptTokens = 4000;
+  ask.session = {77};
+  d.give(ask);
+  const auto home = d.sentTo(1);
+  d.end(1, Outcome::connectFailed);  // read elsewhere, so the table names another reader than the hash
+  const auto other = d.sentTo(1);
+  ASSERT_NE(home, other);
+  d.pass(240 * kMs);
+  d.end(1, Outcome::readDone);
+  d.end(1, Outcome::served);
+  d.pass(2 * kSec);
+  auto soon = d.request(2);
+  soon.session = {77};
+  d.run(soon);
+  d.pass(11 * kSec);
+  auto late = d.request(3);
+  late.session = {77};
+  d.give(late);
+  EXPECT_EQ(d.sentTo(3), home);
+}
+
+TEST(Reading, ARestartEmptiesWhatIsKnownOfAServer) {
+  Driver d(settings());
+  d.list(fleet());
+  auto ask = d.request(1);
+  ask.session = {77};
+  ask.promptTokens = 6000;
+  const auto reader = d.run(ask, 300 * kMs);
+  auto restarted = fleet();
+  for (auto& s : restarted)
+    if (s.id.value == reader) s.startedAt = d.now;
+  d.list(restarted);
+  auto filler = d.request(2);  // spends what a cold server may get, so that only its cache could attract
+  filler.session = {77};
+  d.give(filler);
+  auto next = d.request(3);
+  next.session = {77};
+  d.give(next);
+  EXPECT_NE(d.sentTo(3), reader);
+}
+
+TEST(Reading, TwoBrokenPromisesVoidTheTable) {
+  auto s = settings();
+  Driver d(s);
+  d.list(fleet());
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    auto ask = d.request(id);
+    ask.session = {id};
+    ask.sharedBeginning = {500};
+    ask.sharedTokens = 3000;
+    ask.promptTokens = 3200;
+    d.run(ask, 200 * kMs, 0);  // finds nothing although the table promised the beginning
+  }
+  auto next = d.request(9);
+  next.sharedBeginning = {500};
+  next.sharedTokens = 3000;
+  next.promptTokens = 3200;
+  d.give(next);
+  EXPECT_NE(d.sentTo(9), 0u);  // still served: by the hash, as for an unknown key
+}
+
+TEST(Reading, ReportedQueueSendsElsewhere) {
+  Driver d(settings());
+  d.list(fleet());
+  auto ask = d.request(1);
+  ask.session = {77};
+  d.give(ask);
+  const auto reader = d.sentTo(1);
+  d.pass(60 * kMs);
+  AttemptEnded done{.id = {1}, .attempt = 0, .server = {reader}, .outcome = Outcome::readDone};
+  done.report = LoadReport{.memoryShare = 0.5, .queuedKiloTokens = 60};
+  d.give(done);
+  auto next = d.request(2);
+  next.session = {77};
+  d.give(next);
+  EXPECT_NE(d.sentTo(2), reader);
+}
+
+TEST(Reading, MixedServersAnswerAPartWhole) {
+  Driver d(settings());
+  auto servers = fleet();
+  servers.push_back(server(21, kMixed, 0));
+  d.list(servers);
+  int whole = 0;
+  for (std::uint64_t id = 1; id <= 200; ++id) {
+    d.give(d.request(id));
+    if (d.sentTo(id) == 21) {
+      ++whole;
+      d.give(StreamStarted{{id}, 0});
+      d.end(id, Outcome::served);
+    } else {
+      d.pass(50 * kMs);
+      d.end(id, Outcome::readDone);
+      d.end(id, Outcome::served);
+    }
+  }
+  EXPECT_GT(whole, 5);
+  EXPECT_LT(whole, 60);
+}
+
+TEST(Reading, WritersReadWhereTheyMayAndNoReaderIsLeft) {
+  auto s = settings();
+  s.writersRead = true;
+  Driver d(s);
+  d.list({server(11, kWriter)});
+  d.give(d.request(1));
+  EXPECT_EQ(d.sentTo(1), 11u);
+}
+
+TEST(Reading, WithoutHopeItRefusesAtOnce) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  std::uint64_t id = 1;
+  for (; id < 200 && d.count<Refuse>(id - 1) == 0; ++id) {
+    auto ask = d.request(id);
+    ask.promptTokens = 8000;
+    d.give(ask);
+  }
+  EXPECT_GT(id, 3u);
+  EXPECT_LT(id, 20u);
+}
+
+}  // namespace
+}  // namespace garnethook::test
--- /dev/null
+++ b/tests/writing_test.cpp
@@ -0,0 +1,98 @@
+// Who answers: room in the reader's cell, then elsewhere, then waiting.
+#include <gtest/gtest.h>
+
+#include "driver.h"
+
+namespace garnethook::test {
+namespace {
+
+std::vector<ServerEntry> fleet() {
+  return {server(1, kReader, 0), server(11, kWriter, 0), server(12, kWriter, 0), server(13, kWriter, 1)};
+}
+
+void readOne(Driver& d, std::uint64_t id, double tokens = 1000) {
+  auto ask = d.request(id);
+  ask.promptTokens = tokens;
+  d.give(ask);
+  d.pass(50 * kMs);
+  d.end(id, Outcome::readDone);
+}
+
+TEST(Writing, TakesTheRoomierWriterOfTheCell) {
+  Driver d(settings());
+  d.list(fleet());
+  readOne(d, 1, 5000);
+  const auto first = d.sentTo(1);
+  EXPECT_TRUE(first == 11 || first == 12);
+  readOne(d, 2);
+  EXPECT_EQ(d.sentTo(2), first == 11 ? 12u : 11u);
+}
+
+TEST(Writing, ReportsOfMemoryDecide) {
+  Driver d(settings());
+  d.list(fleet());
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    readOne(d, id);
+    AttemptEnded done{.id = {id}, .attempt = 1, .server = {d.sentTo(id)}, .outcome = Outcome::served};
+    done.last = true;
+    done.report = LoadReport{.memoryShare = d.sentTo(id) == 11 ? 0.8 : 0.2};
+    d.give(done);
+  }
+  readOne(d, 3);
+  EXPECT_EQ(d.sentTo(3), 12u);
+}
+
+TEST(Writing, AFullCellSendsToAnother) {
+  Driver d(settings());
+  d.list(fleet());
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    readOne(d, id);
+    AttemptEnded done{.id = {id}, .attempt = 1, .server = {d.sentTo(id)}, .outcome = Outcome::served};
+    done.last = true;
+    done.report = LoadReport{.memoryShare = 0.99};
+    d.give(done);
+  }
+  readOne(d, 3);
+  EXPECT_EQ(d.sentTo(3), 13u);
+}
+
+TEST(Writing, WithoutRoomAStateWaitsWithinTheReleaseTime) {
+  auto s = settings();
+  Driver d(s);
+  d.list({server(1, kReader), server(11, kWriter)});
+  readOne(d, 1);
+  AttemptEnded done{.id = {1}, .attempt = 1, .server = {11}, .outcome = Outcome::served};
+  done.last = true;
+  done.report = LoadReport{.memoryShare = 1};
+  d.give(done);
+  readOne(d, 2);
+  EXPECT_EQ(d.count<Send>(2), 1);
+  d.pass(s.releaseWithin);
+  EXPECT_EQ(d.count<Send>(2), 2);  // sent at the last look all the same
+}
+
+TEST(Writing, AMissingStateBlamesTheStateAndIsReadAnew) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(2, kReader), server(11, kWriter)});
+  d.give(d.request(1));
+  const auto reader = d.sentTo(1);
+  d.end(1, Outcome::readDone);
+  EXPECT_EQ(d.sentTo(1), 11u);
+  d.end(1, Outcome::full, 0, true);
+  EXPECT_EQ(d.sentTo(1), reader == 1 ? 2u : 1u);
+  d.end(1, Outcome::readDone);
+  EXPECT_EQ(d.sentTo(1), 11u);  // not blamed
+}
+
+TEST(Writing, AFullWriterIsPassedOver) {
+  Driver d(settings());
+  d.list(fleet());
+  readOne(d, 1);
+  const auto first = d.sentTo(1);
+  d.end(1, Outcome::full);
+  EXPECT_NE(d.sentTo(1), first);
+  EXPECT_EQ(d.count<Send>(1), 3);
+}
+
+}  // namespace
+}  // namespace garnethook::test
