--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -41,7 +41,7 @@
 // Guard of the hashed reader: share of the time left to the aim that its queue may take.
 constexpr double kHashGuard = 0.6;
 // Hope: multiple of the time left to the aim up to which a first token is worth trying for.
-constexpr double kHope = 1.2;
+constexpr double kHope = 0.9;
 // Time-outs: multiple of the predicted time plus a share of the aim.
 constexpr double kReadPatience = 3;
 constexpr double kWritePatience = 5;
