--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -47,7 +47,10 @@
 constexpr double kWritePatience = 5;
 constexpr double kPatienceFloor = 0.25;
 constexpr double kWritePrior = 0.1;  // share of the smallest aim: time to a first token, to start with
-constexpr double kWriteWeight = 0.05;
+constexpr double kWriteRise = 0.01;  // the usual time rises slowly and falls fast, to leave jams out
+constexpr double kWriteFall = 0.1;
+constexpr double kFirstWeight = 0.4;
+constexpr double kFirstLife = 2;  // aims: how long a writer's latest first tokens count
 // A server from which nothing came since an attempt was sent is quiet after this much of its time-out.
 constexpr double kQuietShare = 0.6;
 // Suspicion: points that make a suspect, their life, what each symptom counts, and the wait for a trial.
@@ -179,6 +182,8 @@
   bool listed = false;
   double speed = 1;
   Micros speedAt = 0;
+  double firstTime = 0;  // a writer's first tokens, of late
+  Micros firstAt = 0;
   double strikes = 0;
   Micros strikesAt = 0;
   bool suspect = false;
@@ -556,6 +561,14 @@
     return least(mixed, score);
   }
 
+  // Time from a send to a writer to its first token, of late; without news it fades to what is usual, so
+  // that a refusal never rests on old grounds.
+  double firstToken(const Server& s) const {
+    if (s.firstAt == 0) return writeTime_;
+    return writeTime_ +
+           (s.firstTime - writeTime_) * std::exp(-asDouble(now_ - s.firstAt) / (kFirstLife * aim_));
+  }
+
   // Expected time to a first token once read: at the quickest writer that the cell's states may go to.
   double writeCost(std::uint64_t cell) const {
     double near = 0;
@@ -563,9 +576,9 @@
     for (const auto& [id, s] : servers_) {
       if (!s.listed || s.suspect || s.role != Role::writer) continue;
       double& best = s.info.cell == cell ? near : far;
-      best = best == 0 ? speed(s) : std::min(best, speed(s));
+      best = best == 0 ? firstToken(s) : std::min(best, firstToken(s));
     }
-    return writeTime_ * (near > 0 ? near : far > 0 ? far : 1);
+    return near > 0 ? near : far > 0 ? far : writeTime_;
   }
 
   // ---- a request's way ----
@@ -704,8 +717,11 @@
     heard(s, r.ask.id);
     const double took = asDouble(now_ - f.sentAt);
     learnSpeed(s, took / std::max(1.0, f.predicted));
-    if (f.stage == Stage::write)
-      writeTime_ += kWriteWeight * (std::min(took, kOutlier * writeTime_) - writeTime_);
+    if (f.stage != Stage::write) return;
+    s.firstTime = firstToken(s) + kFirstWeight * (took - firstToken(s));
+    s.firstAt = now_;
+    writeTime_ +=
+        (took < writeTime_ ? kWriteFall : kWriteRise) * (std::min(took, kOutlier * writeTime_) - writeTime_);
   }
 
   void heard(Server& s, RequestId id) {
