Refuse while no writer has room

Guards against any jam of writers; could refuse needlessly where own streams stand for unreported ones and this router has more than its part.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -582,6 +582,15 @@
     return near > 0 ? near : far > 0 ? far : writeTime_;
   }
 
+  // Whether any writer, wherever, has room: first tokens tell of a jam only once it is there, memory before.
+  bool roomLeft(const Request& r) const {
+    const double more = tokensHeld(r);
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
+      const Server& s = item.second;
+      return s.listed && s.role != Role::reader && !s.suspect && fill(s, more) <= kRoom;
+    });
+  }
+
   // ---- a request's way ----
 
   void on(const RequestArrived& ask) {
@@ -628,6 +637,7 @@
     // Without hope of a timely first token a request only makes those behind it late as well. Refusing it
     // is cheap, and its client may come again. Guards against every jam, whatever made it.
     const double total = f.predicted + writeCost(s.info.cell);
+    if (r.attempts == 0 && !roomLeft(r)) return end(r, true);
     if (r.attempts == 0 && total > kHope * asDouble(r.aimAt - now_)) return end(r, true);
     send(r, f, patience(r, f, kReadPatience));
   }
