--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -67,6 +67,7 @@
 constexpr double kCutShare = 0.6;
 // Writers: memory share up to which there is room, and how a full answer weighs.
 constexpr double kRoom = 0.95;
+constexpr double kEntryRoom = 0.9;  // beyond this share at every writer, nothing new is let in
 constexpr double kOutputGuess = 0.5;  // of the maximum output, where no hint is given
 // Mixed servers: share of their memory's part that they get: at the start, at least, and its steps up for
 // each timely first token and down for each late one.
@@ -587,7 +588,7 @@
     const double more = tokensHeld(r);
     return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
       const Server& s = item.second;
-      return s.listed && s.role != Role::reader && !s.suspect && fill(s, more) <= kRoom;
+      return s.listed && s.role != Role::reader && !s.suspect && fill(s, more) <= kEntryRoom;
     });
   }
 
