--- a/tests/writing_test.cpp
+++ b/tests/writing_test.cpp
@@ -61,16 +61,31 @@
   Driver d(s);
   d.list({server(1, kReader), server(11, kWriter)});
   readOne(d, 1);
+  d.give(d.request(2));
   AttemptEnded done{.id = {1}, .attempt = 1, .server = {11}, .outcome = Outcome::served};
   done.last = true;
   done.report = LoadReport{.memoryShare = 1};
   d.give(done);
-  readOne(d, 2);
+  d.pass(50 * kMs);
+  d.end(2, Outcome::readDone);
   EXPECT_EQ(d.count<Send>(2), 1);
   d.pass(s.releaseWithin);
   EXPECT_EQ(d.count<Send>(2), 2);  // sent at the last look all the same
 }
 
+TEST(Writing, WithoutRoomAnywhereNothingNewIsLetIn) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  readOne(d, 1);
+  AttemptEnded done{.id = {1}, .attempt = 1, .server = {11}, .outcome = Outcome::served};
+  done.last = true;
+  done.report = LoadReport{.memoryShare = 0.97};
+  d.give(done);
+  d.give(d.request(2));
+  EXPECT_EQ(d.count<Send>(2), 0);
+  EXPECT_EQ(d.count<Refuse>(2), 1);
+}
+
 TEST(Writing, AMissingStateBlamesTheStateAndIsReadAnew) {
   Driver d(settings());
   d.list({server(1, kReader), server(2, kReader), server(11, kWriter)});
