Bear silence for half of the smallest aim more before giving up; quiet servers are avoided as early as before

Also guards against cold and crowded servers; harms where a hung server's requests could still be saved in time.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -45,14 +45,14 @@
 // Time-outs: multiple of the predicted time plus a share of the aim.
 constexpr double kReadPatience = 3;
 constexpr double kWritePatience = 5;
-constexpr double kPatienceFloor = 0.25;
+constexpr double kPatienceFloor = 0.5;
 constexpr double kWritePrior = 0.1;  // share of the smallest aim: time to a first token, to start with
 constexpr double kWriteRise = 0.01;  // the usual time rises slowly and falls fast, to leave jams out
 constexpr double kWriteFall = 0.1;
 constexpr double kFirstWeight = 0.4;
 constexpr double kFirstLife = 2;  // aims: how long a writer's latest first tokens count
 // A server from which nothing came since an attempt was sent is quiet after this much of its time-out.
-constexpr double kQuietShare = 0.6;
+constexpr double kQuietShare = 0.4;
 // Suspicion: points that make a suspect, their life, what each symptom counts, and the wait for a trial.
 constexpr double kSuspect = 1;
 constexpr double kStrikeLife = 5e6;
