--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -67,7 +67,8 @@
 constexpr double kCutShare = 0.6;
 // Writers: memory share up to which there is room, and how a full answer weighs.
 constexpr double kRoom = 0.95;
-constexpr double kEntryRoom = 0.9;  // beyond this share at every writer, nothing new is let in
+constexpr double kAnyRoom = 1e9;
+constexpr double kEntryRoom = 0.9;    // beyond this share at every writer, nothing new is let in
 constexpr double kOutputGuess = 0.5;  // of the maximum output, where no hint is given
 // Mixed servers: share of their memory's part that they get: at the start, at least, and its steps up for
 // each timely first token and down for each late one.
@@ -547,11 +548,10 @@
     return *s.report.memoryShare + (s.held - s.ownAtReport + more) / memory;
   }
 
-  const Server* pickWriter(const Request& r, bool anyRoom) const {
+  const Server* pickWriter(const Request& r, std::uint64_t cell, double limit) const {
     const double more = tokensHeld(r);
-    const auto cell = r.stateAt->cell;
     auto list = candidates(r, Role::writer);
-    const auto roomy = [&](const Server& s) { return anyRoom || fill(s, more) <= kRoom; };
+    const auto roomy = [&](const Server& s) { return fill(s, more) <= limit; };
     const auto score = [&](const Server& s) { return fill(s, more) * speed(s); };
     for (const bool near : {true, false}) {
       auto part = list;
@@ -571,27 +571,6 @@
            (s.firstTime - writeTime_) * std::exp(-asDouble(now_ - s.firstAt) / (kFirstLife * aim_));
   }
 
-  // Expected time to a first token once read: at the quickest writer that the cell's states may go to.
-  double writeCost(std::uint64_t cell) const {
-    double near = 0;
-    double far = 0;
-    for (const auto& [id, s] : servers_) {
-      if (!s.listed || s.suspect || s.role != Role::writer) continue;
-      double& best = s.info.cell == cell ? near : far;
-      best = best == 0 ? firstToken(s) : std::min(best, firstToken(s));
-    }
-    return near > 0 ? near : far > 0 ? far : writeTime_;
-  }
-
-  // Whether any writer, wherever, has room: first tokens tell of a jam only once it is there, memory before.
-  bool roomLeft(const Request& r) const {
-    const double more = tokensHeld(r);
-    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& item) {
-      const Server& s = item.second;
-      return s.listed && s.role != Role::reader && !s.suspect && fill(s, more) <= kEntryRoom;
-    });
-  }
-
   // ---- a request's way ----
 
   void on(const RequestArrived& ask) {
@@ -635,18 +614,21 @@
     f.promised = cached(r, s);
     f.work = readWork(r, s);
     f.predicted = readCost(r, s, averageReported());
-    // Without hope of a timely first token a request only makes those behind it late as well. Refusing it
-    // is cheap, and its client may come again. Guards against every jam, whatever made it.
-    const double total = f.predicted + writeCost(s.info.cell);
-    if (r.attempts == 0 && !roomLeft(r)) return end(r, true);
-    if (r.attempts == 0 && total > kHope * asDouble(r.aimAt - now_)) return end(r, true);
+    if (r.attempts == 0 && !hopeful(r, f, pickWriter(r, s.info.cell, kEntryRoom))) return end(r, true);
     send(r, f, patience(r, f, kReadPatience));
   }
 
+  // Without hope of a timely first token, at the writer that it would get by now, a request only makes those
+  // behind it late as well; refusing it is cheap, and its client may come again. With no writer to be had
+  // memory has run out, which tells of a jam before first tokens do. Guards against jams of any cause.
+  bool hopeful(const Request& r, const Flight& f, const Server* writer) const {
+    return writer && f.predicted + firstToken(*writer) <= kHope * asDouble(r.aimAt - now_);
+  }
+
   void write(Request& r) {
     const Micros limit = set_.releaseWithin > 0 ? set_.releaseWithin : asMicros(aim_);
     const bool lastLook = asDouble(now_ - r.stateSince) >= kHoldShare * asDouble(limit);
-    const Server* s = pickWriter(r, lastLook);
+    const Server* s = pickWriter(r, r.stateAt->cell, lastLook ? kAnyRoom : kRoom);
     if (s && !inScope(r, *s)) s = nullptr;
     if (!s) return lastLook ? end(r, true) : look(r, limit / kHoldLooks);
     Flight f{.server = s->info.id, .stage = Stage::write};
@@ -688,6 +670,7 @@
     f.work = readWork(r, *s);
     f.predicted = readCost(r, *s, averageReported()) + writeTime_;
     f.held = tokensHeld(r);
+    if (role == Role::both && r.attempts == 0 && f.predicted > kHope * asDouble(r.aimAt - now_)) return false;
     send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
     return true;
   }
