--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -449,13 +449,14 @@
     return std::max(0.0, sum - asDouble(now_ - std::max(first, s.readDoneAt)));
   }
 
-  // Reads of others, from the server's report: queued reads at an average read each.
+  // Reads of others, from the server's report: queued reads at an average read each, or, where it tells
+  // their tokens, those at the curve's slope; an average read would price a cached prefix into every token.
   std::optional<double> reported(const Server& s) const {
     if (s.reportAt == 0) return std::nullopt;
-    const double reads = s.report.queuedKiloTokens
-                             ? *s.report.queuedKiloTokens * 1000 / std::max(1.0, readTokens_)
-                             : s.report.queuedRequests.value_or(0);
-    const double others = std::max(0.0, reads * readTime_ - s.backlogAtReport);
+    const double slope = curve_.predict(2000, 0) - curve_.predict(1000, 0);
+    const double queued = s.report.queuedKiloTokens ? *s.report.queuedKiloTokens * slope
+                                                    : s.report.queuedRequests.value_or(0) * readTime_;
+    const double others = std::max(0.0, queued - s.backlogAtReport);
     return others * std::exp(-asDouble(now_ - s.reportAt) / kReportLife);
   }
 
@@ -785,7 +786,6 @@
     curve_.learn(r.ask.promptTokens, found, alone / speed(s));
     learnSpeed(s, took / std::max(1.0, f.predicted / speed(s)));
     readTime_ += readTime_ == 0 ? alone : 0.05 * (alone - readTime_);
-    readTokens_ += readTokens_ == 0 ? r.ask.promptTokens : 0.05 * (r.ask.promptTokens - found - readTokens_);
     s.readDoneAt = now_;
     heard(s, r.ask.id);
     correct(r, f, found);
@@ -904,7 +904,6 @@
   ReadCurve curve_;
   double writeTime_;  // usual time from a send to a writer to the first token
   double readTime_ = 0;
-  double readTokens_ = 0;
   double mixedCredit_ = 0;
   double mixedShare_ = kShareStart;
   bool subscribed_ = false;
