--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -564,9 +564,14 @@
     return least(mixed, score);
   }
 
-  // Time from a send to a writer to its first token, of late; without news it fades to what is usual, so
-  // that a refusal never rests on old grounds.
+  // Time from a send to a writer to its first token: of late, fading to what is usual without news, so that
+  // a refusal never rests on old grounds; and no less than the longest wait there now, the freshest news.
   double firstToken(const Server& s) const {
+    double waiting = 0;
+    for (const auto& [id, f] : s.waits) waiting = std::max(waiting, asDouble(now_ - f.sentAt));
+    return std::max(waiting, recentFirstToken(s));
+  }
+  double recentFirstToken(const Server& s) const {
     if (s.firstAt == 0) return writeTime_;
     return writeTime_ +
            (s.firstTime - writeTime_) * std::exp(-asDouble(now_ - s.firstAt) / (kFirstLife * aim_));
@@ -714,7 +719,7 @@
     const double took = asDouble(now_ - f.sentAt);
     learnSpeed(s, took / std::max(1.0, f.predicted));
     if (f.stage != Stage::write) return;
-    s.firstTime = firstToken(s) + kFirstWeight * (took - firstToken(s));
+    s.firstTime = recentFirstToken(s) + kFirstWeight * (took - recentFirstToken(s));
     s.firstAt = now_;
     writeTime_ +=
         (took < writeTime_ ? kWriteFall : kWriteRise) * (std::min(took, kOutlier * writeTime_) - writeTime_);
