The longest wait now at a reader bounds its queue from below

Also guards against silent readers before suspicion; harms where one stuck read stands for a whole server.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -449,6 +449,12 @@
     return std::max(0.0, sum - asDouble(now_ - std::max(first, s.readDoneAt)));
   }
 
+  double longestWait(const Server& s) const {
+    double longest = 0;
+    for (const auto& [id, f] : s.waits) longest = std::max(longest, asDouble(now_ - f.sentAt));
+    return longest;
+  }
+
   // Reads of others, from the server's report: queued reads at an average read each, or, where it tells
   // their tokens, those at the curve's slope; an average read would price a cached prefix into every token.
   std::optional<double> reported(const Server& s) const {
@@ -476,7 +482,8 @@
   }
 
   double readCost(const Request& r, const Server& s, double unheard) const {
-    return (backlog(s) + reported(s).value_or(unheard) + readWork(r, s)) * speed(s);
+    const double queue = (backlog(s) + reported(s).value_or(unheard)) * speed(s);
+    return std::max(queue, longestWait(s)) + readWork(r, s) * speed(s);
   }
 
   static bool failedAt(const Request& r, ServerId id) {
@@ -566,11 +573,7 @@
 
   // Time from a send to a writer to its first token: of late, fading to what is usual without news, so that
   // a refusal never rests on old grounds; and no less than the longest wait there now, the freshest news.
-  double firstToken(const Server& s) const {
-    double waiting = 0;
-    for (const auto& [id, f] : s.waits) waiting = std::max(waiting, asDouble(now_ - f.sentAt));
-    return std::max(waiting, recentFirstToken(s));
-  }
+  double firstToken(const Server& s) const { return std::max(longestWait(s), recentFirstToken(s)); }
   double recentFirstToken(const Server& s) const {
     if (s.firstAt == 0) return writeTime_;
     return writeTime_ +
