--- a/tests/reading_test.cpp
+++ b/tests/reading_test.cpp
@@ -192,6 +192,54 @@
   EXPECT_EQ(d.sentTo(1), 11u);
 }
 
+TEST(Reading, TheLongestWaitNowTellsOfAQueueThatNobodyReports) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  d.give(d.request(1));
+  d.pass(50 * kMs);
+  d.give(d.request(2));  // a sign between, so that the server is busy, not silent
+  d.pass(850 * kMs);
+  d.end(2, Outcome::readDone);
+  d.give(d.request(3));  // the first read waits for 900 ms by now
+  EXPECT_EQ(d.count<Send>(3), 0);
+  EXPECT_EQ(d.count<Refuse>(3), 1);
+}
+
+TEST(Reading, AWaitingFirstTokenHoldsNewRequestsBack) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  d.give(d.request(1));
+  d.pass(50 * kMs);
+  d.end(1, Outcome::readDone);
+  ASSERT_EQ(d.sentTo(1), 11u);
+  d.pass(950 * kMs);
+  d.give(d.request(2));
+  EXPECT_EQ(d.count<Refuse>(2), 1);
+}
+
+TEST(Reading, ReportedTokensCostTheSlopeNotAnAverageRead) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  for (std::uint64_t id = 1; id <= 40; ++id) {  // nearly all cached: 30 ms for 100 new tokens
+    auto ask = d.request(id);
+    ask.session = {7};
+    ask.promptTokens = 3000;
+    d.run(ask, 30 * kMs, 2900);
+  }
+  auto ask = d.request(50);
+  ask.session = {7};
+  ask.promptTokens = 3000;
+  d.give(ask);
+  d.pass(30 * kMs);
+  AttemptEnded done{
+      .id = {50}, .attempt = 0, .server = {1}, .outcome = Outcome::readDone, .foundTokens = 2900};
+  done.report = LoadReport{.memoryShare = 0.3, .queuedKiloTokens = 5};
+  d.give(done);
+  ask.id = {51};
+  d.give(ask);  // 5,000 tokens at the average read's time a token would take 1.5 s
+  EXPECT_EQ(d.sentTo(51), 1u);
+}
+
 TEST(Reading, WithoutHopeItRefusesAtOnce) {
   Driver d(settings());
   d.list({server(1, kReader), server(11, kWriter)});
