--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -72,7 +72,7 @@
 constexpr double kOutputGuess = 0.5;  // of the maximum output, where no hint is given
 // Mixed servers: share of their memory's part that they get: at the start, at least, and its steps up for
 // each timely first token and down for each late one.
-constexpr double kShareStart = 0.3;
+constexpr double kShareStart = 1;
 constexpr double kShareMin = 0.05;
 constexpr double kShareRise = 0.005;
 constexpr double kShareFall = 0.9;
