Cold budget reckoned over all routers, drawn by lot where a router's part is under one send

Now the budget of all routers is undercut by three standard deviations of independent sends, and a lot per fall time admits one send where the part is below one. Guards also against restarts of a whole kind (demand stands in for warm peers). Harm: fresh servers fill more slowly.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -82,8 +82,8 @@
 // Held states: share of the release time that may pass before the last attempt, and how often to look.
 constexpr double kHoldShare = 0.7;
 constexpr int kHoldLooks = 10;
-// Cold servers: share of the budget that this router allows itself.
-constexpr double kColdSafety = 0.6;
+// Cold servers: standard deviations of all routers' sends by which the budget is undercut.
+constexpr double kColdSpread = 3;
 // Housekeeping: how often, and horizon of the sends that measure a warm server's usual load.
 constexpr Micros kTick = kSecond / 4;
 constexpr Micros kLoadHorizon = 6 * kSecond;
@@ -208,6 +208,8 @@
   std::deque<std::pair<Micros, double>> finished;  // work finished, of late
   Micros tableFrom = 0;                            // table entries older than this are void
   int emptyPromises = 0;
+  double lot = 1;  // while cold: drawn anew each fall time
+  Micros lotUntil = 0;
 };
 
 struct Cached {
@@ -365,21 +367,50 @@
     return total;
   }
 
-  // This router's part of what a cold server may get in any window: what warm servers of its role were
-  // seen to finish for this router, times the told multiple, times the least share of its capacity that is
-  // told, for as long as it may stay cold. Finished work, not sent: a jam sends far more than anyone can do.
+  // What a warm server of each role was seen to finish for this router within the fall time. Finished work,
+  // not sent: a jam sends far more than anyone can do. With no warm peer left the last figure stands; a router
+  // that never had one takes its own demand, spread over the role.
+  void measureUsual() {
+    std::array<double, 3> work{};
+    std::array<int, 3> warm{};
+    std::array<int, 3> all{};
+    for (const auto& [id, s] : servers_) {
+      if (!s.listed) continue;
+      const auto role = static_cast<std::size_t>(s.role);
+      ++all[role];
+      if (cold(s)) continue;
+      ++warm[role];
+      work[role] += sum(s.finished, now_ - kLoadHorizon);
+    }
+    const double window = asDouble(set_.fallAfter) / asDouble(kLoadHorizon);
+    for (std::size_t role = 0; role < 3; ++role) {
+      if (warm[role] > 0)
+        usual_[role] = window * work[role] / warm[role];
+      else if (usual_[role] <= 0)
+        usual_[role] = window * sum(arrived_, now_ - kLoadHorizon) / std::max(1, all[role]);
+    }
+  }
+
+  // What a cold server may get in any window from all routers: the told multiple of the least share of its
+  // capacity that is told, for as long as it may stay cold, less the spread of independent routers' sends.
+  // Where this router's part is under one send, a lot drawn once a window decides whether it has one. Guards
+  // against a hundred routers that each find an empty server at once.
   bool coldRoom(const Server& s, double work) const {
     if (!cold(s) || set_.fallMultiple <= 0 || set_.fallAfter <= 0) return true;
-    double usual = 0;
-    int peers = 0;
-    for (const auto& [id, other] : servers_) {
-      if (!other.listed || other.role != s.role || cold(other)) continue;
-      usual += sum(other.finished, now_ - kLoadHorizon);
-      ++peers;
-    }
-    usual *= asDouble(set_.fallAfter) / asDouble(kLoadHorizon) / std::max(1, peers);
-    const double before = sum(s.sends, now_ - set_.fallAfter);
-    return before + work <= kColdSafety * set_.fallMultiple * set_.coldFrom * usual || before == 0;
+    const double routers = asDouble(static_cast<Micros>(set_.routers));
+    const double most =
+        set_.fallMultiple * set_.coldFrom * usual_[static_cast<std::size_t>(s.role)] * routers / work;
+    const double root = std::sqrt(kColdSpread * kColdSpread / 4 + most) - kColdSpread / 2;
+    const double part = root * root / routers;
+    const double before = sum(s.sends, now_ - set_.fallAfter) / work;
+    return before + 1 <= part || (before == 0 && s.lot < part);
+  }
+
+  void drawLot(Server& s) {
+    if (!cold(s) || now_ < s.lotUntil) return;
+    const bool first = s.lotUntil < s.info.startedAt;
+    s.lot = first ? 1 : uniform();
+    s.lotUntil = now_ + asMicros(asDouble(set_.fallAfter) * (first ? uniform() : 1));
   }
 
   // What a send weighs on a server: the mean prompt of its class.
@@ -592,6 +623,7 @@
     r.deadline = now_ + ask.remaining;
     double& mean = meanPrompt_.try_emplace(*ask.requestClass, ask.promptTokens).first->second;
     mean += 0.05 * (ask.promptTokens - mean);
+    arrived_.emplace_back(now_, workOf(r));
     setTimer(timerFor(ask.id, Purpose::deadline), std::max<Micros>(0, ask.remaining));
     advance(r);
   }
@@ -884,7 +916,10 @@
     ticking_ = true;
     setTimer(timerFor({0}, Purpose::tick), kTick);
     if (set_.discovery == Discovery::ask && !subscribed_) out_->push_back(Subscribe{});
+    while (!arrived_.empty() && arrived_.front().first < now_ - kLoadHorizon) arrived_.pop_front();
+    measureUsual();
     for (auto& [id, s] : servers_) {
+      drawLot(s);
       for (auto* ledger : {&s.sends, &s.finished})
         while (!ledger->empty() && ledger->front().first < now_ - kLoadHorizon) ledger->pop_front();
       if (!set_.mayProbe || !s.suspect || !s.listed || s.probing || s.answeredProbe || now_ < s.trialAt)
@@ -923,6 +958,8 @@
   std::map<PrefixKey, std::vector<Cached>> shared_;
   std::map<PrefixKey, std::vector<Cached>> sessions_;
   std::map<std::size_t, double> meanPrompt_;
+  std::deque<std::pair<Micros, double>> arrived_;  // work asked for, of late
+  std::array<double, 3> usual_{};                  // by role
 };
 
 Brain::Brain(const Settings& settings, std::uint64_t seed) : impl_(std::make_unique<Impl>(settings, seed)) {}
