Hash weighted by the cells' answering memory; memory shares fade to the mean; ties by own order

The hashed reader is now drawn with its cell's answering memory for each reader over the fleet's, 0.1 to 1.4: known from the list alone, equal at all routers, so it can't herd. Harm: uneven speeds of writers are not seen by it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cmath>
 #include <deque>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <random>
@@ -38,6 +39,9 @@
 constexpr double kSpeedLife = 8e6;
 // A report of queued tokens is believed for about this long.
 constexpr double kReportLife = 1e6;
+// Bounds of a reader's weight in the hash.
+constexpr double kPullMin = 0.1;
+constexpr double kPullMax = 1.4;
 // Guard of the hashed reader: share of the time left to the aim that its queue may take.
 constexpr double kHashGuard = 0.6;
 // Hope: multiple of the time left to the aim up to which a first token is worth trying for.
@@ -68,8 +72,10 @@
 // Writers: memory share up to which there is room, and how a full answer weighs.
 constexpr double kRoom = 0.95;
 constexpr double kAnyRoom = 1e9;
-constexpr double kEntryRoom = 0.9;    // beyond this share at every writer, nothing new is let in
-constexpr double kOutputGuess = 0.5;  // of the maximum output, where no hint is given
+constexpr double kShareLife = 4e6;       // a report of memory fades to the mean of all within about this long
+constexpr double kStreamEvidence = 0.3;  // own streams a server from which they tell of other routers'
+constexpr double kEntryRoom = 0.9;       // beyond this share at every writer, nothing new is let in
+constexpr double kOutputGuess = 0.5;     // of the maximum output, where no hint is given
 // Mixed servers: share of their memory's part that they get: at the start, at least, and its steps up for
 // each timely first token and down for each late one.
 constexpr double kShareStart = 1;
@@ -208,7 +214,8 @@
   std::deque<std::pair<Micros, double>> finished;  // work finished, of late
   Micros tableFrom = 0;                            // table entries older than this are void
   int emptyPromises = 0;
-  double lot = 1;  // while cold: drawn anew each fall time
+  double pull = 1;  // weight in the hash
+  double lot = 1;   // while cold: drawn anew each fall time
   Micros lotUntil = 0;
 };
 
@@ -263,6 +270,7 @@
   Impl(const Settings& settings, std::uint64_t seed)
       : set_(checked(settings)),
         random_(seed),
+        order_{mix(seed + 1)},
         aim_(smallestAim(settings)),
         curve_(kPriorDelayShare * aim_, tokenSlope(settings)),
         writeTime_(kWritePrior * aim_) {}
@@ -283,6 +291,7 @@
     if (list.kind != ServerList::Kind::changes)
       for (auto& [id, s] : servers_) s.listed = false;
     for (const auto& entry : list.entries) update(entry);
+    weighCells();
   }
 
   void update(const ServerEntry& entry) {
@@ -368,8 +377,8 @@
   }
 
   // What a warm server of each role was seen to finish for this router within the fall time. Finished work,
-  // not sent: a jam sends far more than anyone can do. With no warm peer left the last figure stands; a router
-  // that never had one takes its own demand, spread over the role.
+  // not sent: a jam sends far more than anyone can do. With no warm peer left the last figure stands; a
+  // router that never had one takes its own demand, spread over the role.
   void measureUsual() {
     std::array<double, 3> work{};
     std::array<int, 3> warm{};
@@ -535,28 +544,59 @@
     return {};
   }
 
+  // The least score; ties go by the given order: a key's, equal at all routers, or this router's own, so that
+  // many routers that know nothing don't choose alike.
   template <class Score>
-  static const Server* least(const std::vector<const Server*>& list, Score score) {
+  const Server* least(const std::vector<const Server*>& list, PrefixKey order, Score score) const {
+    std::vector<double> scores;
+    std::transform(list.begin(), list.end(), std::back_inserter(scores), [&](auto* s) { return score(*s); });
     const Server* best = nullptr;
-    double bestScore = 0;
-    for (const Server* s : list) {
-      const double value = score(*s);
-      if (best != nullptr && value >= bestScore) continue;
-      best = s;
-      bestScore = value;
-    }
+    const double limit = scores.empty() ? 0 : *std::min_element(scores.begin(), scores.end());
+    for (std::size_t i = 0; i < list.size(); ++i)
+      if (scores[i] <= limit &&
+          (!best || rendezvous(order, list[i]->info.id) > rendezvous(order, best->info.id)))
+        best = list[i];
     return best;
   }
 
+  // Weighted rendezvous over the listed servers of a role, equal at all routers.
   const Server* hashed(const Request& r, Role role) const {
     const PrefixKey key = r.ask.sharedBeginning.value != 0 ? r.ask.sharedBeginning : r.ask.session;
+    const auto draw = [&](const Server& s) {
+      const double u =
+          (asDouble(static_cast<Micros>(rendezvous(key, s.info.id) >> 11)) + 0.5) / 9007199254740992.0;
+      return s.pull / -std::log(u);
+    };
     const Server* best = nullptr;
     for (const auto& [id, s] : servers_)
-      if (s.role == role && s.listed && (!best || rendezvous(key, id) > rendezvous(key, best->info.id)))
-        best = &s;
+      if (s.role == role && s.listed && (!best || draw(s) > draw(*best))) best = &s;
     return best;
   }
 
+  // A reader's weight in the hash: answering memory for each reader of its cell, over the fleet's. Guards
+  // against cells whose readers would hand over more than their writers can answer.
+  void weighCells() {
+    struct Cell {
+      double readers = 0;
+      double memory = 0;
+    };
+    std::map<std::uint64_t, Cell> cells;
+    Cell all;
+    for (const auto& [id, s] : servers_)
+      for (Cell* c : {&cells[s.info.cell], &all}) {
+        if (!s.listed) continue;
+        (s.role == Role::reader ? c->readers : c->memory) +=
+            s.role == Role::reader ? 1 : std::max(1.0, s.memory);
+      }
+    for (auto& [id, s] : servers_) {
+      const Cell& c = cells[s.info.cell];
+      const double fair = all.memory / std::max(1.0, all.readers);
+      s.pull = s.role == Role::reader
+                   ? std::clamp(c.memory / std::max(1.0, c.readers) / std::max(1.0, fair), kPullMin, kPullMax)
+                   : 1;
+    }
+  }
+
   const Server* pickReader(const Request& r, Role role) const {
     const auto list = candidates(r, role);
     if (list.empty()) return nullptr;
@@ -566,7 +606,7 @@
     if (home && std::find(list.begin(), list.end(), home) != list.end() &&
         readCost(r, *home, unheard) <= kHashGuard * asDouble(r.aimAt - now_))
       return home;
-    return least(list, [&](const Server& s) { return readCost(r, s, unheard); });
+    return least(list, r.ask.sharedBeginning, [&](const Server& s) { return readCost(r, s, unheard); });
   }
 
   // ---- choosing a writer: most room in the reader's cell ----
@@ -578,13 +618,36 @@
     return r.ask.promptTokens + output;
   }
 
-  // Share of its memory that a server holds: by its report, moved on by what was sent and ended since;
-  // without a report, own streams as this router's part of all.
+  // Share of its memory that a server holds: by its report, moved on by what was sent and ended since, and
+  // fading to the mean of the fleet's; without a report, own streams as this router's part of all, as far as
+  // it has streams enough to tell: one stream of one router in a hundred is no sign of a hundred.
   double fill(const Server& s, double more) const {
     const double memory = s.memory > 0 ? s.memory : 1e5;
-    const double routers = asDouble(static_cast<Micros>(set_.routers));
-    if (s.reportAt == 0 || !s.report.memoryShare) return (s.held * routers + more) / memory;
-    return *s.report.memoryShare + (s.held - s.ownAtReport + more) / memory;
+    if (s.reportAt == 0 || !s.report.memoryShare) return meanShare_ + (s.held * others_ + more) / memory;
+    const double then = *s.report.memoryShare - s.ownAtReport / memory;
+    const double fresh = std::exp(-asDouble(now_ - s.reportAt) / kShareLife);
+    return meanShare_ + (then - meanShare_) * fresh + (s.held + more) / memory;
+  }
+
+  void measureFill() {
+    double share = 0;
+    double weight = 0;
+    double servers = 0;
+    for (const auto& [id, s] : servers_) {
+      if (!s.listed || s.role == Role::reader) continue;
+      ++servers;
+      if (s.reportAt == 0 || !s.report.memoryShare) continue;
+      const double fresh = std::exp(-asDouble(now_ - s.reportAt) / kShareLife);
+      share += fresh * *s.report.memoryShare;
+      weight += fresh;
+    }
+    meanShare_ = weight > 0 ? share / weight : 0;
+    const auto streams = asDouble(std::count_if(requests_.begin(), requests_.end(), [](const auto& item) {
+      return item.second.out && item.second.out->held > 0;
+    }));
+    const double each = streams / std::max(1.0, servers);
+    const double evidence = each * each / (each * each + kStreamEvidence);
+    others_ = 1 + (asDouble(static_cast<Micros>(set_.routers)) - 1) * evidence;
   }
 
   const Server* pickWriter(const Request& r, std::uint64_t cell, double limit) const {
@@ -595,11 +658,11 @@
     for (const bool near : {true, false}) {
       auto part = list;
       std::erase_if(part, [&](auto* s) { return (near && s->info.cell != cell) || !roomy(*s); });
-      if (const Server* best = least(part, score)) return best;
+      if (const Server* best = least(part, order_, score)) return best;
     }
     auto mixed = candidates(r, Role::both);
     std::erase_if(mixed, [&](auto* s) { return !roomy(*s); });
-    return least(mixed, score);
+    return least(mixed, order_, score);
   }
 
   // Time from a send to a writer to its first token: of late, fading to what is usual without news, so that
@@ -918,6 +981,7 @@
     if (set_.discovery == Discovery::ask && !subscribed_) out_->push_back(Subscribe{});
     while (!arrived_.empty() && arrived_.front().first < now_ - kLoadHorizon) arrived_.pop_front();
     measureUsual();
+    measureFill();
     for (auto& [id, s] : servers_) {
       drawLot(s);
       for (auto* ledger : {&s.sends, &s.finished})
@@ -943,6 +1007,9 @@
 
   Settings set_;
   std::mt19937_64 random_;
+  PrefixKey order_;  // this router's own order of the servers, where they are alike
+  double meanShare_ = 0;
+  double others_ = 1;
   double aim_;  // smallest of the classes' aims
   ReadCurve curve_;
   double writeTime_;  // usual time from a send to a writer to the first token
