--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -652,17 +652,17 @@
 
   const Server* pickWriter(const Request& r, std::uint64_t cell, double limit) const {
     const double more = tokensHeld(r);
-    auto list = candidates(r, Role::writer);
-    const auto roomy = [&](const Server& s) { return fill(s, more) <= limit; };
+    const auto list = candidates(r, Role::writer);
+    const auto mixed = candidates(r, Role::both);
     const auto score = [&](const Server& s) { return fill(s, more) * speed(s); };
-    for (const bool near : {true, false}) {
-      auto part = list;
-      std::erase_if(part, [&](auto* s) { return (near && s->info.cell != cell) || !roomy(*s); });
-      if (const Server* best = least(part, order_, score)) return best;
-    }
-    auto mixed = candidates(r, Role::both);
-    std::erase_if(mixed, [&](auto* s) { return !roomy(*s); });
-    return least(mixed, order_, score);
+    for (const bool near : {true, false})
+      for (const auto* group : {&list, &mixed}) {
+        auto part = *group;
+        std::erase_if(part,
+                      [&](auto* s) { return (near && s->info.cell != cell) || fill(*s, more) > limit; });
+        if (const Server* best = least(part, order_, score)) return best;
+      }
+    return nullptr;
   }
 
   // Time from a send to a writer to its first token: of late, fading to what is usual without news, so that
