--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -718,7 +718,7 @@
     f.promised = cached(r, s);
     f.work = readWork(r, s);
     f.predicted = readCost(r, s, averageReported());
-    if (r.attempts == 0 && !hopeful(r, f, pickWriter(r, s.info.cell, kEntryRoom))) return end(r, true);
+    if (!hopeful(r, f, pickWriter(r, s.info.cell, kEntryRoom))) return end(r, true);
     send(r, f, patience(r, f, kReadPatience));
   }
 
@@ -726,7 +726,8 @@
   // behind it late as well; refusing it is cheap, and its client may come again. With no writer to be had
   // memory has run out, which tells of a jam before first tokens do. Guards against jams of any cause.
   bool hopeful(const Request& r, const Flight& f, const Server* writer) const {
-    return writer && f.predicted + firstToken(*writer) <= kHope * asDouble(r.aimAt - now_);
+    const Micros until = r.attempts == 0 ? r.aimAt : r.deadline;
+    return writer && f.predicted + firstToken(*writer) <= kHope * asDouble(until - now_);
   }
 
   void write(Request& r) {
@@ -772,9 +773,10 @@
     Flight f{.server = s->info.id, .stage = Stage::whole};
     f.promised = cached(r, *s);
     f.work = readWork(r, *s);
-    f.predicted = readCost(r, *s, averageReported()) + writeTime_;
+    f.predicted = readCost(r, *s, averageReported()) + firstToken(*s);
     f.held = tokensHeld(r);
-    if (role == Role::both && r.attempts == 0 && f.predicted > kHope * asDouble(r.aimAt - now_)) return false;
+    if (f.predicted > kHope * asDouble(r.aimAt - now_)) return false;
+    if (role == Role::writer && (r.attempts > 0 || fill(*s, f.held) > kEntryRoom)) return false;
     send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
     return true;
   }
