First tokens of all writers stand in for a writer seldom met

Cause: at size a router meets a writer once in many seconds, so its own figure had faded to the usual time when it was asked, and jams showed only as cancelled waits, which counted for nothing. Harm: one hung writer makes routers with few streams refuse some.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -646,8 +646,8 @@
       return item.second.out && item.second.out->held > 0;
     }));
     const double each = streams / std::max(1.0, servers);
-    const double evidence = each * each / (each * each + kStreamEvidence);
-    others_ = 1 + (asDouble(static_cast<Micros>(set_.routers)) - 1) * evidence;
+    evidence_ = each * each / (each * each + kStreamEvidence);
+    others_ = 1 + (asDouble(static_cast<Micros>(set_.routers)) - 1) * evidence_;
   }
 
   const Server* pickWriter(const Request& r, std::uint64_t cell, double limit) const {
@@ -669,9 +669,28 @@
   // a refusal never rests on old grounds; and no less than the longest wait there now, the freshest news.
   double firstToken(const Server& s) const { return std::max(longestWait(s), recentFirstToken(s)); }
   double recentFirstToken(const Server& s) const {
-    if (s.firstAt == 0) return writeTime_;
-    return writeTime_ +
-           (s.firstTime - writeTime_) * std::exp(-asDouble(now_ - s.firstAt) / (kFirstLife * aim_));
+    return s.firstAt == 0 ? fleetFirstToken() : faded(s.firstTime, s.firstAt, fleetFirstToken());
+  }
+  // Where a router meets a writer once in many seconds, the others tell of it: a jam is seldom one writer's.
+  // Where it has streams enough at each, the writer's own figure does.
+  double fleetFirstToken() const {
+    return writeTime_ + (1 - evidence_) * (faded(firstTime_, firstAt_, writeTime_) - writeTime_);
+  }
+
+  double faded(double value, Micros since, double rest) const {
+    return rest + (value - rest) * std::exp(-asDouble(now_ - since) / (kFirstLife * aim_));
+  }
+
+  void learnFirst(Server& s, double took) {
+    s.firstTime = recentFirstToken(s) + kFirstWeight * (took - recentFirstToken(s));
+    s.firstAt = now_;
+    learnFleetFirst(took);
+  }
+
+  void learnFleetFirst(double took) {
+    const double before = faded(firstTime_, firstAt_, writeTime_);
+    firstTime_ = before + kFirstWeight * (took - before);
+    firstAt_ = now_;
   }
 
   // ---- a request's way ----
@@ -819,8 +838,7 @@
     const double took = asDouble(now_ - f.sentAt);
     learnSpeed(s, took / std::max(1.0, f.predicted));
     if (f.stage != Stage::write) return;
-    s.firstTime = recentFirstToken(s) + kFirstWeight * (took - recentFirstToken(s));
-    s.firstAt = now_;
+    learnFirst(s, took);
     writeTime_ +=
         (took < writeTime_ ? kWriteFall : kWriteRise) * (std::min(took, kOutlier * writeTime_) - writeTime_);
   }
@@ -876,6 +894,7 @@
       case Outcome::timedOut:
         strike(f.server, s.heardAt > f.sentAt ? kStrikeSlow : kStrikeTimeout, "silence");
         learnSpeed(s, kSpeedMax);
+        if (f.stage == Stage::write) learnFleetFirst(asDouble(now_ - f.sentAt));  // at least that long
         break;
     }
     r.failed.push_back(f.server);
@@ -1011,10 +1030,13 @@
   std::mt19937_64 random_;
   PrefixKey order_;  // this router's own order of the servers, where they are alike
   double meanShare_ = 0;
+  double evidence_ = 0;  // 0: own streams tell nothing of a server's load, 1: all
   double others_ = 1;
   double aim_;  // smallest of the classes' aims
   ReadCurve curve_;
-  double writeTime_;  // usual time from a send to a writer to the first token
+  double writeTime_;      // usual time from a send to a writer to the first token
+  double firstTime_ = 0;  // first tokens of all writers, of late
+  Micros firstAt_ = 0;
   double readTime_ = 0;
   double mixedCredit_ = 0;
   double mixedShare_ = kShareStart;
