--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -16,6 +16,10 @@
 #include <set>
 #include <stdexcept>
 
+#include "hash.h"
+#include "settings.h"
+#include "state.h"
+
 namespace garnethook {
 namespace {
 
@@ -45,7 +49,7 @@
 // Guard of the hashed reader: share of the time left to the aim that its queue may take.
 constexpr double kHashGuard = 0.6;
 // Hope: multiple of the time left to the aim up to which a first token is worth trying for.
-constexpr double kHope = 0.9;
+constexpr double kHope = 0.7;
 // Time-outs: multiple of the predicted time plus a share of the aim.
 constexpr double kReadPatience = 3;
 constexpr double kWritePatience = 5;
@@ -73,23 +77,16 @@
 constexpr double kRoom = 0.95;
 constexpr double kAnyRoom = 1e9;
 constexpr double kShareLife = 4e6;       // a report of memory fades to the mean of all within about this long
-constexpr double kStreamEvidence = 0.3;  // own streams a server from which they tell of other routers'
+constexpr double kStreamEvidence = 0.3;  // square of the own streams a server that half tell of others'
 constexpr double kEntryRoom = 0.9;       // beyond this share at every writer, nothing new is let in
 constexpr double kOutputGuess = 0.5;     // of the maximum output, where no hint is given
-// Mixed servers: share of their memory's part that they get: at the start, at least, and its steps up for
-// each timely first token and down for each late one.
-constexpr double kShareStart = 1;
-constexpr double kShareMin = 0.05;
-constexpr double kShareRise = 0.005;
-constexpr double kShareFall = 0.9;
-constexpr double kShareTimely = 0.4;  // of the aim: what counts as timely there
-constexpr double kMixedRead = 1.25;   // of the mean read: the dearest that they take
-constexpr double kMixedCredit = 3;    // requests of their share that may be made up later
+constexpr double kMixedRead = 1.25;      // of the mean read: the dearest that they take
+constexpr double kMixedCredit = 3;       // requests of their share that may be made up later
 // Held states: share of the release time that may pass before the last attempt, and how often to look.
 constexpr double kHoldShare = 0.7;
 constexpr int kHoldLooks = 10;
 // Cold servers: standard deviations of all routers' sends by which the budget is undercut.
-constexpr double kColdSpread = 3;
+constexpr double kColdSpread = 4;
 // Housekeeping: how often, and horizon of the sends that measure a warm server's usual load.
 constexpr Micros kTick = kSecond / 4;
 constexpr Micros kLoadHorizon = 6 * kSecond;
@@ -98,18 +95,6 @@
 double asDouble(Micros time) { return static_cast<double>(time); }
 Micros asMicros(double time) { return static_cast<Micros>(time); }
 
-// Rendezvous weight: equal at every router, so that unknown keys meet at one reader.
-std::uint64_t mix(std::uint64_t value) {
-  value ^= value >> 30;
-  value *= 0xbf58476d1ce4e5b9ULL;
-  value ^= value >> 27;
-  value *= 0x94d049bb133111ebULL;
-  return value ^ (value >> 31);
-}
-std::uint64_t rendezvous(PrefixKey key, ServerId server) {
-  return mix(mix(key.value + 0x9e3779b97f4a7c15ULL) ^ mix(server.value));
-}
-
 // exec(x, y) = d + c x (1 - y) + a x^2 (1 - y^2), x in tokens, time in microseconds. Fitted online by
 // least squares with forgetting; coordinate descent keeps every coefficient at 0 or above.
 class ReadCurve {
@@ -153,104 +138,11 @@
   Triple right_{};
 };
 
-enum class Stage { read, write, whole };
-
-struct Flight {  // an attempt that is out
-  int number = 0;
-  ServerId server;
-  Stage stage = Stage::read;
-  Micros sentAt = 0;
-  double work = 0;       // predicted time of the read alone
-  double predicted = 0;  // predicted time to the next sign, queue included
-  double promised = 0;   // tokens that the table said were cached
-  double held = 0;       // tokens of memory at a writer
-  Micros patience = 0;   // how long silence is borne; 0: until the deadline
-  bool started = false;
-  bool trial = false;
-};
-
-struct Request {
-  RequestArrived ask;
-  RequestClass kind;
-  Micros aimAt = 0;
-  Micros deadline = 0;
-  int attempts = 0;
-  std::optional<Flight> out;
-  std::optional<ServerEntry> stateAt;
-  Micros stateSince = 0;
-  std::vector<ServerId> failed;       // servers that failed it
-  std::optional<ServerEntry> riskAt;  // where it may have run ...
-  Micros riskSince = 0;               // ... and when it was first sent there
-  bool ended = false;
-};
-
-struct Server {
-  ServerEntry info;
-  Role role = Role::both;
-  double memory = 0;
-  bool listed = false;
-  double speed = 1;
-  Micros speedAt = 0;
-  double firstTime = 0;  // a writer's first tokens, of late
-  Micros firstAt = 0;
-  double strikes = 0;
-  Micros strikesAt = 0;
-  bool suspect = false;
-  bool probing = false;
-  bool answeredProbe = false;
-  std::optional<RequestId> trial;
-  Micros trialAt = 0;
-  Micros trialWait = kTrialWait;
-  Micros heardAt = 0;
-  Micros fullUntil = 0;
-  Micros readDoneAt = 0;
-  LoadReport report;
-  Micros reportAt = 0;
-  double ownAtReport = 0;                          // own memory held there when it reported
-  double backlogAtReport = 0;                      // own unfinished reading then, as time
-  double held = 0;                                 // own streams' tokens
-  std::map<RequestId, Flight> waits;               // own attempts without a sign yet
-  std::deque<std::pair<Micros, double>> sends;     // work sent, of late
-  std::deque<std::pair<Micros, double>> finished;  // work finished, of late
-  Micros tableFrom = 0;                            // table entries older than this are void
-  int emptyPromises = 0;
-  double pull = 1;  // weight in the hash
-  double lot = 1;   // while cold: drawn anew each fall time
-  Micros lotUntil = 0;
-};
-
-struct Cached {
-  ServerId server;
-  double tokens = 0;
-  Micros at = 0;
-};
-
 enum class Purpose : std::uint64_t { deadline, look, tick, watch };
 TimerId timerFor(RequestId id, Purpose purpose) {
   return {id.value * 4 + static_cast<std::uint64_t>(purpose)};
 }
 
-void require(bool holds, const char* trouble) {
-  if (!holds) throw std::invalid_argument(trouble);
-}
-
-Settings checked(const Settings& s) {
-  require(!s.kinds.empty(), "kinds: at least one kind of server is needed");
-  require(s.routers >= 1, "routers: at least 1");
-  require(s.ownZone < s.zones, "ownZone: not among the zones");
-  require(s.maxAttempts >= 1, "maxAttempts: at least 1");
-  require(s.releaseWithin >= 0, "releaseWithin: negative");
-  require(s.coldFrom >= 0 && s.coldFrom <= 1, "coldFrom: not between 0 and 1");
-  require(s.warmWithin >= 0 && s.fallAfter >= 0, "warmWithin or fallAfter: negative");
-  require(s.fallMultiple >= 0, "fallMultiple: negative");
-  for (const auto& k : s.kinds) require(k.memoryTokens >= 0, "kinds.memoryTokens: negative");
-  for (const auto& c : s.classes) {
-    require(c.aim >= 0 && c.aimPerKiloToken >= 0, "classes.aim or aimPerKiloToken: negative");
-    require(c.effect != Effect::keyed || c.repeatWindow >= 0, "classes.repeatWindow: negative");
-  }
-  return s;
-}
-
 double smallestAim(const Settings& s) {
   Micros aim = s.classes.empty() ? kSecond : std::numeric_limits<Micros>::max();
   for (const auto& c : s.classes) aim = std::min(aim, std::max<Micros>(c.aim, 1000));
@@ -318,6 +210,7 @@
     s.strikesAt = now_;
     if (s.strikes < kSuspect) return;
     if (!s.suspect) say(id, "suspect", symptom);
+    s.trialWait = std::max(s.trialWait, kTrialWait);
     if (s.suspect && now_ >= s.trialAt) s.trialWait = std::min(2 * s.trialWait, kTrialWaitMax);
     s.suspect = true;
     s.answeredProbe = false;
@@ -376,9 +269,8 @@
     return total;
   }
 
-  // What a warm server of each role was seen to finish for this router within the fall time. Finished work,
-  // not sent: a jam sends far more than anyone can do. With no warm peer left the last figure stands; a
-  // router that never had one takes its own demand, spread over the role.
+  // What a warm server of each role was seen to finish (a jam is sent far more) for this router within the
+  // fall time. With no warm peer left the last figure stands; a router without one takes its own demand.
   void measureUsual() {
     std::array<double, 3> work{};
     std::array<int, 3> warm{};
@@ -395,20 +287,19 @@
     for (std::size_t role = 0; role < 3; ++role) {
       if (warm[role] > 0)
         usual_[role] = window * work[role] / warm[role];
-      else if (usual_[role] <= 0)
+      else if (usual_[role] < 0)
         usual_[role] = window * sum(arrived_, now_ - kLoadHorizon) / std::max(1, all[role]);
     }
   }
 
-  // What a cold server may get in any window from all routers: the told multiple of the least share of its
-  // capacity that is told, for as long as it may stay cold, less the spread of independent routers' sends.
-  // Where this router's part is under one send, a lot drawn once a window decides whether it has one. Guards
-  // against a hundred routers that each find an empty server at once.
+  // A cold server's budget in any window is the told multiple of its least told capacity, less the spread of
+  // independent routers' sends. Where this router's part is under one send, a lot drawn once a window decides
+  // whether it has one. Guards against a hundred routers that each find an empty server at once.
   bool coldRoom(const Server& s, double work) const {
     if (!cold(s) || set_.fallMultiple <= 0 || set_.fallAfter <= 0) return true;
     const double routers = asDouble(static_cast<Micros>(set_.routers));
-    const double most =
-        set_.fallMultiple * set_.coldFrom * usual_[static_cast<std::size_t>(s.role)] * routers / work;
+    const double most = set_.fallMultiple * set_.coldFrom *
+                        std::max(0.0, usual_[static_cast<std::size_t>(s.role)]) * routers / work;
     const double root = std::sqrt(kColdSpread * kColdSpread / 4 + most) - kColdSpread / 2;
     const double part = root * root / routers;
     const double before = sum(s.sends, now_ - set_.fallAfter) / work;
@@ -583,17 +474,15 @@
     std::map<std::uint64_t, Cell> cells;
     Cell all;
     for (const auto& [id, s] : servers_)
-      for (Cell* c : {&cells[s.info.cell], &all}) {
-        if (!s.listed) continue;
-        (s.role == Role::reader ? c->readers : c->memory) +=
-            s.role == Role::reader ? 1 : std::max(1.0, s.memory);
-      }
+      for (Cell* c : {&cells[s.info.cell], &all})
+        if (s.listed)
+          (s.role == Role::reader ? c->readers : c->memory) +=
+              s.role == Role::reader ? 1 : std::max(1.0, s.memory);
+    const double fair = all.memory / std::max(1.0, all.readers);
     for (auto& [id, s] : servers_) {
       const Cell& c = cells[s.info.cell];
-      const double fair = all.memory / std::max(1.0, all.readers);
-      s.pull = s.role == Role::reader
-                   ? std::clamp(c.memory / std::max(1.0, c.readers) / std::max(1.0, fair), kPullMin, kPullMax)
-                   : 1;
+      const double pull = c.memory / std::max(1.0, c.readers) / std::max(1.0, fair);
+      s.pull = s.role == Role::reader ? std::clamp(pull, kPullMin, kPullMax) : 1;
     }
   }
 
@@ -619,8 +508,8 @@
   }
 
   // Share of its memory that a server holds: by its report, moved on by what was sent and ended since, and
-  // fading to the mean of the fleet's; without a report, own streams as this router's part of all, as far as
-  // it has streams enough to tell: one stream of one router in a hundred is no sign of a hundred.
+  // fading to the fleet's mean; without one, own streams as this router's part of all, as far as they are
+  // enough to tell: one stream of one router in a hundred is no sign of a hundred.
   double fill(const Server& s, double more) const {
     const double memory = s.memory > 0 ? s.memory : 1e5;
     if (s.reportAt == 0 || !s.report.memoryShare) return meanShare_ + (s.held * others_ + more) / memory;
@@ -671,8 +560,7 @@
   double recentFirstToken(const Server& s) const {
     return s.firstAt == 0 ? fleetFirstToken() : faded(s.firstTime, s.firstAt, fleetFirstToken());
   }
-  // Where a router meets a writer once in many seconds, the others tell of it: a jam is seldom one writer's.
-  // Where it has streams enough at each, the writer's own figure does.
+  // Where own streams are too few to tell of one writer, those at all of them do: few jams are one writer's.
   double fleetFirstToken() const {
     return writeTime_ + (1 - evidence_) * (faded(firstTime_, firstAt_, writeTime_) - writeTime_);
   }
@@ -761,9 +649,8 @@
     send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
   }
 
-  // Mixed servers take their share whole: at most the part of all answering memory that is theirs, scaled
-  // by how their answers went of late. Reading slows their running answers, so only prompts that cost them
-  // no more than the mean read count.
+  // Mixed servers take their share whole: the part of all answering memory that is theirs. Reading slows
+  // their running answers, so only prompts that cost them no more than the mean read count.
   bool takesWhole(const Request& r) {
     if (r.attempts > 0) return false;
     double mixed = 0;
@@ -773,7 +660,7 @@
       (s.role == Role::both ? mixed : writers) += std::max(1.0, s.memory);
     }
     if (mixed <= 0) return false;
-    mixedCredit_ = std::min(kMixedCredit, mixedCredit_ + mixedShare_ * mixed / (mixed + writers));
+    mixedCredit_ = std::min(kMixedCredit, mixedCredit_ + mixed / (mixed + writers));
     if (mixedCredit_ < 1) return false;
     const Server* s = pickReader(r, Role::both);
     if (!s || readWork(r, *s) > kMixedRead * readTime_) return false;
@@ -781,11 +668,6 @@
     return true;
   }
 
-  void learnShare(bool onTime) {
-    mixedShare_ =
-        onTime ? std::min(1.0, mixedShare_ + kShareRise) : std::max(kShareMin, mixedShare_ * kShareFall);
-  }
-
   bool whole(Request& r, Role role) {
     const Server* s = pickReader(r, role);
     if (!s || !inScope(r, *s)) return false;
@@ -1039,7 +921,6 @@
   Micros firstAt_ = 0;
   double readTime_ = 0;
   double mixedCredit_ = 0;
-  double mixedShare_ = kShareStart;
   bool subscribed_ = false;
   bool ticking_ = false;
   Micros now_ = 0;
@@ -1050,7 +931,7 @@
   std::map<PrefixKey, std::vector<Cached>> sessions_;
   std::map<std::size_t, double> meanPrompt_;
   std::deque<std::pair<Micros, double>> arrived_;  // work asked for, of late
-  std::array<double, 3> usual_{};                  // by role
+  std::array<double, 3> usual_{-1, -1, -1};        // by role; negative: never seen
 };
 
 Brain::Brain(const Settings& settings, std::uint64_t seed) : impl_(std::make_unique<Impl>(settings, seed)) {}
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,32 @@
+// Rejects settings that can't be worked with, naming the setting. Nothing is decided here.
+#include "settings.h"
+
+#include <stdexcept>
+
+namespace garnethook {
+namespace {
+
+void require(bool holds, const char* trouble) {
+  if (!holds) throw std::invalid_argument(trouble);
+}
+
+}  // namespace
+
+Settings checked(const Settings& s) {
+  require(!s.kinds.empty(), "kinds: at least one kind of server is needed");
+  require(s.routers >= 1, "routers: at least 1");
+  require(s.ownZone < s.zones, "ownZone: not among the zones");
+  require(s.maxAttempts >= 1, "maxAttempts: at least 1");
+  require(s.releaseWithin >= 0, "releaseWithin: negative");
+  require(s.coldFrom >= 0 && s.coldFrom <= 1, "coldFrom: not between 0 and 1");
+  require(s.warmWithin >= 0 && s.fallAfter >= 0, "warmWithin or fallAfter: negative");
+  require(s.fallMultiple >= 0, "fallMultiple: negative");
+  for (const auto& k : s.kinds) require(k.memoryTokens >= 0, "kinds.memoryTokens: negative");
+  for (const auto& c : s.classes) {
+    require(c.aim >= 0 && c.aimPerKiloToken >= 0, "classes.aim or aimPerKiloToken: negative");
+    require(c.effect != Effect::keyed || c.repeatWindow >= 0, "classes.repeatWindow: negative");
+  }
+  return s;
+}
+
+}  // namespace garnethook
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -187,6 +187,35 @@
   EXPECT_LE(cold, 7);
 }
 
+// Each of a hundred routers finds an empty fresh server; together they must stay within its budget.
+TEST(Cold, AHundredRoutersTogetherKeepTheBudget) {
+  auto s = settings();
+  s.routers = 100;
+  int sends = 0;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Driver d(s, seed);
+    d.list(fleet());
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+      readOne(d, id, kSafe);
+      d.end(id, Outcome::served);
+      d.pass(kSec);
+    }
+    auto fresh = server(3, kReader);
+    fresh.startedAt = d.now;
+    d.list({fresh}, ServerList::Kind::changes);
+    for (std::uint64_t id = 100; id <= 101; ++id) {  // a window of 2 s
+      readOne(d, id, kSafe);
+      for (const auto& [at, action] : d.log)
+        if (const auto* send = std::get_if<Send>(&action); send && send->id.value == id)
+          sends += send->server.value == 3 ? 1 : 0;
+      d.end(id, Outcome::served);
+      d.pass(kSec);
+    }
+  }
+  // Warm readers finish about 100 in a window; 0.3 x 2.5 of that may come.
+  EXPECT_LE(sends, 75);
+}
+
 TEST(Pinned, EveryEndReleases) {
   Driver d(settings());
   d.list(fleet());
--- a/tests/writing_test.cpp
+++ b/tests/writing_test.cpp
@@ -109,5 +109,36 @@
   EXPECT_EQ(d.count<Send>(1), 3);
 }
 
+// A hundred routers that know nothing of equal writers must not all choose the same.
+TEST(Writing, RoutersThatKnowNothingSpreadOverEqualWriters) {
+  auto s = settings();
+  s.routers = 100;
+  std::map<std::uint64_t, int> chosen;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Driver d(s, seed);
+    d.list({server(1, kReader), server(11, kWriter), server(12, kWriter), server(13, kWriter),
+            server(14, kWriter)});
+    readOne(d, 1);
+    ++chosen[d.sentTo(1)];
+  }
+  for (std::uint64_t id = 11; id <= 14; ++id) EXPECT_LE(chosen[id], 40) << id;
+}
+
+// One own stream at a writer is no sign of one at each of a hundred routers.
+TEST(Writing, OneStreamOfManyRoutersIsNoFullWriter) {
+  auto s = settings();
+  s.routers = 100;
+  Driver d(s);
+  d.list({server(1, kReader, 0), server(11, kWriter, 0), server(12, kWriter, 1), server(13, kWriter, 1),
+          server(14, kWriter, 1), server(15, kWriter, 1)});
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    readOne(d, id, 2000);
+    EXPECT_EQ(d.sentTo(id), 11u);
+    d.pass(20 * kMs);
+    d.give(StreamStarted{{id}, 1});
+    d.pass(kSec);
+  }
+}
+
 }  // namespace
 }  // namespace garnethook::test
