Tokeniser: byte-level BPE from ranks files and tokenizer.json, SentencePiece models

The router knows prompts in characters only and the module prices tokens. This is the encoder: src/tokeniser reads .tiktoken files, tokenizer.json (byte-level BPE, NFC, added tokens, templates) and SentencePiece models; what it does not understand is an error naming the field. Patterns run on PCRE2 with JIT after a reading that takes only constructs that mean the same there. Pieces are encoded from left to right in linear time; a vocabulary whose merges are not in order is found when it is loaded and merged by the definition. advance() encodes a beginning as far as it is certain for every continuation (PCRE2's hard partial matching), which is what counting by beginnings will rest on. New command: garnethook tokens.

--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 missing=()
 for package in cmake g++ ninja-build pkg-config libgtest-dev clang-format libpoco-dev libprotobuf-dev protobuf-compiler \
-  nlohmann-json3-dev libspdlog-dev libcli11-dev libxxhash-dev libgrpc++-dev protobuf-compiler-grpc nghttp2-client curl; do
+  nlohmann-json3-dev libspdlog-dev libcli11-dev libxxhash-dev libpcre2-dev libsentencepiece-dev libutf8proc-dev libssl-dev librapidcheck-dev libgrpc++-dev protobuf-compiler-grpc nghttp2-client curl; do
   dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
 done
 if ((${#missing[@]})); then
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,7 @@
 #include <CLI/CLI.hpp>
 
 #include "app/commands.h"
+#include "app/tokens_command.h"
 
 int main(int argc, char** argv) {
   using namespace garnethook::app;
@@ -62,6 +63,29 @@
   auditCommand->add_option("recording", recording, "JSON lines, as drill --record writes them")->required();
   auditCommand->callback([&] { code = auditFile(recording); });
 
+  TokensOptions tokensOptions;
+  auto* tokensCommand = program.add_subcommand("tokens", "Count a text's tokens as an engine would");
+  tokensCommand->add_option("file", tokensOptions.file, "The text; - for standard input")->required();
+  tokensCommand
+      ->add_option("--vocabulary", tokensOptions.vocabulary, "tokenizer.json, .tiktoken or .model file")
+      ->required();
+  tokensCommand
+      ->add_option("--format", tokensOptions.format, "Of the vocabulary file; by its ending where not told")
+      ->check(CLI::IsMember({"huggingface", "ranks", "sentencepiece"}));
+  tokensCommand->add_option(
+      "--pattern", tokensOptions.pattern,
+      "Of a ranks file: cl100k_base, o200k_base, p50k_base, r50k_base or a pattern itself");
+  tokensCommand->add_option("--special-token", tokensOptions.specialTokens, "Of a ranks file: TEXT=ID");
+  tokensCommand->add_flag("--special", tokensOptions.special,
+                          "Special tokens' text in the file is meant as such");
+  tokensCommand->add_flag("!--no-frame", tokensOptions.frame,
+                          "Leave out the tokens before and behind a text");
+  tokensCommand->add_flag("--ids", tokensOptions.ids, "Print the ids, not their number");
+  tokensCommand->add_flag("--lines", tokensOptions.lines, "Each line is a text of its own, a JSON string");
+  tokensCommand->add_option("--repeat", tokensOptions.repeat, "Encode so many times, for timing")
+      ->check(CLI::Range(1, 1'000'000));
+  tokensCommand->callback([&] { code = tokens(tokensOptions); });
+
   CLI11_PARSE(program, argc, argv);
   return code;
 }
--- /dev/null
+++ b/src/tokeniser/piece_encoder.cpp
@@ -0,0 +1,210 @@
+#include "tokeniser/piece_encoder.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <string>
+
+namespace garnethook::tokeniser {
+
+PieceEncoder::PieceEncoder(const Vocabulary& vocabulary, std::unique_ptr<const PlainMerger> merger)
+    : vocabulary_(vocabulary), number_(vocabulary.ids(), kNone) {
+  const bool inOrder = order(*merger);
+  plant();
+  if (!inOrder || !agrees(*merger)) plain_ = std::move(merger);
+}
+
+// Numbers the tokens by the rank of the merge that they arise by. False where a part is younger than the
+// whole.
+bool PieceEncoder::order(const PlainMerger& merger) {
+  struct Found {
+    PlainMerger::Last last;
+    TokenId id;
+  };
+  std::vector<Found> found;
+  for (TokenId id = 0; id < vocabulary_.ids(); ++id) {
+    if (vocabulary_.octets(id).size() < 2) continue;
+    if (const auto last = merger.last(id)) found.push_back({*last, id});
+  }
+  std::sort(found.begin(), found.end(),
+            [](const Found& a, const Found& b) { return a.last.rank < b.last.rank; });
+  for (unsigned value = 0; value < 256; ++value) {
+    const TokenId id = merger.octet(static_cast<std::uint8_t>(value));
+    number_[id] = value;
+    tokens_.push_back({id, 1, value, value, kNone});
+  }
+  bool inOrder = true;
+  for (const Found& f : found) {
+    const auto number = static_cast<std::uint32_t>(tokens_.size());
+    const std::uint32_t left = number_[f.last.left];
+    const std::uint32_t right = number_[f.last.right];
+    number_[f.id] = number;
+    tokens_.push_back(
+        {f.id, static_cast<std::uint32_t>(vocabulary_.octets(f.id).size()), left, right, kNone});
+    if (left == kNone || right == kNone)
+      inOrder = false;
+    else
+      pairs_.add(left, right, {number, number});
+  }
+  return inOrder;
+}
+
+// The trie, level by level, so that the children of a node lie together.
+void PieceEncoder::plant() {
+  std::vector<std::uint32_t> sorted(tokens_.size());
+  for (std::uint32_t i = 0; i < sorted.size(); ++i) sorted[i] = i;
+  const auto octets = [&](std::uint32_t number) { return vocabulary_.octets(tokens_[number].id); };
+  std::sort(sorted.begin(), sorted.end(),
+            [&](std::uint32_t a, std::uint32_t b) { return octets(a) < octets(b); });
+  struct Span {
+    std::uint32_t from, to;  // of `sorted`
+    std::uint32_t depth;
+    std::uint32_t shorter;  // the longest token above
+  };
+  std::vector<Span> spans{{0, static_cast<std::uint32_t>(sorted.size()), 0, kNone}};
+  nodes_.push_back({});
+  two_.assign(65'536, 0);
+  for (std::uint32_t node = 0; node < nodes_.size(); ++node) {
+    Span span = spans[node];
+    if (span.from < span.to && octets(sorted[span.from]).size() == span.depth) {
+      const std::uint32_t token = sorted[span.from++];
+      nodes_[node].token = token;
+      tokens_[token].shorter = span.shorter;
+      span.shorter = token;
+    }
+    nodes_[node].first = static_cast<std::uint32_t>(nodes_.size());
+    for (std::uint32_t i = span.from; i < span.to;) {
+      const char label = octets(sorted[i])[span.depth];
+      std::uint32_t end = i;
+      while (end < span.to && octets(sorted[end])[span.depth] == label) ++end;
+      if (span.depth == 1)
+        two_[std::size_t{nodes_[node].label} << 8 | static_cast<std::uint8_t>(label)] =
+            static_cast<std::uint32_t>(nodes_.size());
+      ++nodes_[node].children;
+      nodes_.push_back({0, kNone, 0, static_cast<std::uint8_t>(label)});
+      spans.push_back({i, end, span.depth + 1, span.shorter});
+      i = end;
+    }
+  }
+  nodes_.shrink_to_fit();
+}
+
+std::uint32_t PieceEncoder::longest(std::string_view text) const {
+  const auto octet = [&](std::size_t i) { return static_cast<std::uint8_t>(text[i]); };
+  std::uint32_t best = octet(0);  // the number of an octet is its value
+  if (text.size() < 2) return best;
+  std::uint32_t node = two_[std::size_t{octet(0)} << 8 | octet(1)];
+  if (node == 0) return best;
+  for (std::size_t i = 2;; ++i) {
+    const Node& here = nodes_[node];
+    if (here.token != kNone) best = here.token;
+    if (i == text.size() || here.children == 0) return best;
+    const Node* const from = &nodes_[here.first];
+    const Node* const to = from + here.children;
+    const Node* at = from;
+    if (here.children <= 8)
+      while (at != to && at->label != octet(i)) ++at;
+    else
+      at = std::lower_bound(from, to, octet(i),
+                            [](const Node& n, std::uint8_t label) { return n.label < label; });
+    if (at == to || at->label != octet(i)) return best;
+    node = static_cast<std::uint32_t>(at - nodes_.data());
+  }
+}
+
+// Takes the two tokens apart, youngest merge first, and looks whether merging would have joined octets over
+// the border before: then these two never stand side by side.
+bool PieceEncoder::neighbours(std::uint32_t left, std::uint32_t right) const {
+  std::uint32_t limit = kNone;
+  for (;;) {
+    const std::uint32_t joined = pairs_.find(left, right).token;
+    if (joined < limit) return false;
+    if (left > right) {
+      limit = left;
+      left = tokens_[left].right;
+      if (left == limit) {
+        limit = right + 1;
+        right = tokens_[right].left;
+        if (right + 1 == limit) return true;
+      }
+    } else {
+      limit = right + 1;
+      right = tokens_[right].left;
+      if (right + 1 == limit) {
+        limit = left;
+        left = tokens_[left].right;
+        if (left == limit) return true;
+      }
+    }
+  }
+}
+
+void PieceEncoder::encode(std::string_view piece, std::vector<TokenId>& ids, Workspace& workspace) const {
+  if (piece.empty()) return;
+  if (plain_) return plain_->encode(piece, ids);
+  if (!encodeOrdered(piece, ids, workspace)) throw std::logic_error("a vocabulary with merges out of order");
+}
+
+bool PieceEncoder::encodeOrdered(std::string_view piece, std::vector<TokenId>& ids,
+                                 Workspace& workspace) const {
+  auto& row = workspace.row;
+  auto& dead = workspace.dead;
+  row.clear();
+  dead.assign(piece.size() / 64 + 1, 0);
+  std::size_t at = 0;
+  std::uint32_t next = longest(piece);
+  while (at < piece.size()) {
+    const std::size_t end = at + tokens_[next].length;
+    if ((dead[end / 64] >> (end % 64) & 1) == 0 && (row.empty() || neighbours(row.back(), next))) {
+      row.push_back(next);
+      at = end;
+      if (at < piece.size()) next = longest(piece.substr(at));
+    } else if (tokens_[next].shorter != kNone) {
+      next = tokens_[next].shorter;
+    } else {
+      if (row.empty()) return false;
+      dead[at / 64] |= std::uint64_t{1} << (at % 64);
+      next = row.back();
+      row.pop_back();
+      at -= tokens_[next].length;
+    }
+  }
+  for (const std::uint32_t number : row) ids.push_back(tokens_[number].id);
+  return true;
+}
+
+// Samples that bring borders of tokens together: rows of tokens drawn at random, and runs.
+bool PieceEncoder::agrees(const PlainMerger& merger) const {
+  std::uint64_t state = 0x853c49e6748fea9bU;
+  const auto draw = [&](std::size_t below) {
+    state = state * 6364136223846793005U + 1442695040888963407U;
+    return static_cast<std::size_t>((state >> 33) % below);
+  };
+  Workspace workspace;
+  std::vector<TokenId> fast;
+  std::vector<TokenId> plain;
+  for (int i = 0; i < 4000; ++i) {
+    std::string text;
+    const std::size_t tokens = 2 + draw(5);
+    while (text.size() < 200 && text.size() < tokens * 40) {
+      text += vocabulary_.octets(tokens_[draw(tokens_.size())].id);
+      if (draw(tokens) == 0) break;
+    }
+    if (i % 8 == 0) {  // a run of one token
+      const std::string one = text.substr(0, 1 + draw(4));
+      text.clear();
+      for (std::size_t k = 0; k < 3 + draw(40); ++k) text += one;
+    }
+    fast.clear();
+    plain.clear();
+    merger.encode(text, plain);
+    if (!encodeOrdered(text, fast, workspace) || fast != plain) return false;
+  }
+  return true;
+}
+
+std::size_t PieceEncoder::memory() const {
+  return tokens_.capacity() * sizeof(Token) + number_.capacity() * 4 + pairs_.memory() +
+         nodes_.capacity() * sizeof(Node) + two_.capacity() * 4 + (plain_ ? plain_->memory() : 0);
+}
+
+}  // namespace garnethook::tokeniser
--- /dev/null
+++ b/src/tokeniser/tokeniser.cpp
@@ -0,0 +1,46 @@
+#include "tokeniser/tokeniser.h"
+
+#include <algorithm>
+#include <fstream>
+
+#include "tokeniser/utf8.h"
+
+namespace garnethook::tokeniser {
+
+std::vector<TokenId> encode(const Tokeniser& tokeniser, std::string_view text, const TextOptions& options,
+                            Workspace& workspace) {
+  const auto good = repaired(text);
+  const std::string_view whole = good ? std::string_view(*good) : text;
+  const auto changed = tokeniser.normalised(whole, options);
+  const std::string_view final = changed ? std::string_view(*changed) : whole;
+  std::vector<TokenId> ids;
+  if (options.frame) ids.assign(tokeniser.before().begin(), tokeniser.before().end());
+  tokeniser.advance(final, {}, final.size(), options, workspace, &ids);
+  if (options.frame) ids.insert(ids.end(), tokeniser.behind().begin(), tokeniser.behind().end());
+  return ids;
+}
+
+std::string decode(const Tokeniser& tokeniser, std::span<const TokenId> ids) {
+  std::string text;
+  for (const TokenId id : ids) text += tokeniser.octets(id);
+  return text;
+}
+
+std::shared_ptr<const Tokeniser> loadFile(const std::string& path, const FileOptions& options) {
+  constexpr std::streamoff kMost = 256 << 20;
+  std::ifstream in(path, std::ios::binary | std::ios::ate);
+  if (!in) throw FileError(path + ": can't be read");
+  const std::streamoff size = in.tellg();
+  if (size > kMost) throw FileError(path + ": has more than 256 MiB");
+  std::string octets(static_cast<std::size_t>(std::max<std::streamoff>(size, 0)), '\0');
+  in.seekg(0);
+  if (!in.read(octets.data(), static_cast<std::streamsize>(octets.size())))
+    throw FileError(path + ": can't be read");
+  switch (options.format) {
+    case Format::ranks: return readRanks(path, octets, options);
+    case Format::huggingFace: return readHuggingFace(path, octets);
+    default: return readSentencePiece(path, octets, options);
+  }
+}
+
+}  // namespace garnethook::tokeniser
