Counting: scheduler, count cache, beginnings, versions; the module prices by count

Exact counts need a place to run and to be remembered, and engines of two versions count the same prompt differently.

Tests: 250 texts with shared, cut and repeated beginnings count as the stand-in's own code does while the cache turns over; a flood of twenty times its size leaves over 90% of what was asked for four times.

--- /dev/null
+++ b/src/counting/counter.cpp
@@ -0,0 +1,151 @@
+#include "counting/counter.h"
+
+#include <algorithm>
+#include <array>
+
+namespace garnethook::counting {
+namespace {
+
+std::size_t characters(std::string_view text) {
+  return static_cast<std::size_t>(std::count_if(
+      text.begin(), text.end(), [](char c) { return (static_cast<std::uint8_t>(c) & 0xc0U) != 0x80; }));
+}
+
+}  // namespace
+
+std::string_view name(Estimate e) {
+  constexpr std::array<std::string_view, 5> names{"none", "no-file", "queue-full", "late", "failed"};
+  return names[static_cast<std::size_t>(e)];
+}
+
+Counter::Counter(const CounterOptions& options, timing::Timers& timers,
+                 std::function<void(std::function<void()>)> post)
+    : options_(options), timers_(timers), store_(options.store), pool_(options.pool, std::move(post)) {}
+
+Counter::~Counter() {
+  for (auto& [ticket, open] : open_) timers_.cancel(open.late);
+}
+
+CountTicket Counter::count(Prompt prompt, const std::vector<Loaded>& tokenisers, Done done) {
+  ++counters_.prompts;
+  counters_.octets += prompt.text->size();
+  const std::uint64_t ticket = next_++;
+  Open open;
+  open.octets = prompt.text->size();
+  open.characters = characters(*prompt.text);
+  open.sharedCharacters = characters(std::string_view(*prompt.text).substr(0, prompt.sharedOctets));
+  open.done = std::move(done);
+  if (tokenisers.empty()) open.trouble = Estimate::noFile;
+  for (const Loaded& t : tokenisers) {
+    CountOrder order{t.tokeniser,
+                     t.version.name + '\0' + t.version.version + '\0' + std::to_string(t.number),
+                     prompt.text,
+                     prompt.sharedOctets,
+                     options_.sessionIds ? prompt.session : std::string(),
+                     prompt.specialTokens};
+    Part part{t.number, std::make_shared<PromptCount>(store_, std::move(order)), std::nullopt, false};
+    try {
+      if (open.octets <= options_.lookOctets && !options_.sessionIds && part.count->remembered()) {
+        part.known = true;
+        ++counters_.remembered;
+      } else if (open.octets <= options_.inlineOctets) {
+        while (part.count->slice(options_.inlineOctets) > 0) {}
+        part.known = true;
+        ++counters_.inLoop;
+        counters_.octetsEncoded += part.count->result().encoded;
+      }
+    } catch (const std::exception&) {
+      open.trouble = Estimate::failed;
+      ++counters_.estimatedFailed;
+      part.count.reset();
+    }
+    open.parts.push_back(std::move(part));
+  }
+  for (std::size_t i = 0; i < open.parts.size(); ++i) {
+    Part& part = open.parts[i];
+    if (part.known || !part.count) continue;
+    part.job = pool_.submit(scheduler::Level::waited, open.octets, part.count,
+                            [this, ticket, i](std::exception_ptr trouble) { partDone(ticket, i, trouble); });
+    if (part.job) {
+      ++open.waiting;
+    } else {
+      open.trouble = Estimate::full;
+      ++counters_.estimatedFull;
+    }
+  }
+  if (open.waiting == 0) {
+    const PromptCounts counts = result(open);
+    open.done(counts);
+    return {};
+  }
+  open.late = timers_.after(options_.within, [this, ticket] {
+    Open& o = open_.at(ticket);
+    o.trouble = Estimate::late;
+    ++counters_.estimatedLate;
+    finish(ticket);
+  });
+  open_.emplace(ticket, std::move(open));
+  return {ticket};
+}
+
+void Counter::partDone(std::uint64_t ticket, std::size_t index, std::exception_ptr trouble) {
+  const auto at = open_.find(ticket);
+  if (at == open_.end()) return;
+  Part& part = at->second.parts[index];
+  part.job.reset();
+  if (trouble) {
+    at->second.trouble = Estimate::failed;
+    ++counters_.estimatedFailed;
+  } else {
+    part.known = true;
+    ++counters_.onWorkers;
+    counters_.octetsEncoded += part.count->result().encoded;
+  }
+  if (--at->second.waiting == 0) finish(ticket);
+}
+
+void Counter::finish(std::uint64_t ticket) {
+  auto node = open_.extract(ticket);
+  Open& open = node.mapped();
+  timers_.cancel(open.late);
+  for (const Part& part : open.parts)
+    if (part.job) pool_.cancel(*part.job);
+  open.done(result(open));
+}
+
+void Counter::cancel(CountTicket ticket) {
+  auto node = open_.extract(ticket.value);
+  if (node.empty()) return;
+  ++counters_.cancelled;
+  timers_.cancel(node.mapped().late);
+  for (const Part& part : node.mapped().parts)
+    if (part.job) pool_.cancel(*part.job);
+}
+
+// The main count is that of the first tokeniser; else of another that was counted; else by characters.
+PromptCounts Counter::result(const Open& open) {
+  PromptCounts out;
+  for (const Part& part : open.parts) {
+    if (!part.known) continue;
+    const Count& c = part.count->result();
+    out.exact.push_back(
+        {part.number, std::max(1.0, static_cast<double>(c.tokens)), static_cast<double>(c.sharedTokens)});
+    if (!out.blocks) out.blocks = c.blocks;
+  }
+  if (!open.parts.empty() && open.parts.front().known) {
+    out.main = out.exact.front().prompt;
+    out.mainShared = out.exact.front().shared;
+    return out;
+  }
+  out.estimate = open.trouble;
+  if (!out.exact.empty()) {
+    out.main = out.exact.front().prompt;
+    out.mainShared = out.exact.front().shared;
+  } else {
+    out.main = std::max(1.0, static_cast<double>(open.characters) / options_.charactersPerToken);
+    out.mainShared = static_cast<double>(open.sharedCharacters) / options_.charactersPerToken;
+  }
+  return out;
+}
+
+}  // namespace garnethook::counting
--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -342,6 +342,21 @@
     return s.listed && coldRoom(s, workOf(r)) && now_ >= s.fullUntil;
   }
 
+  // A request's tokens as this server counts them.
+  double promptAt(const Request& r, const Server& s) const {
+    const auto* own = countAt(r, s);
+    return own ? own->promptTokens : r.ask.promptTokens * s.info.promptFactor;
+  }
+  double sharedAt(const Request& r, const Server& s) const {
+    const auto* own = countAt(r, s);
+    return own ? own->sharedTokens : r.ask.sharedTokens * s.info.promptFactor;
+  }
+  static const PromptCount* countAt(const Request& r, const Server& s) {
+    for (const auto& c : r.ask.counts)
+      if (c.tokeniser == s.info.tokeniser) return &c;
+    return nullptr;
+  }
+
   // ---- the prefix table ----
 
   double cachedAt(const Table& table, PrefixKey key, const Server& s) const {
@@ -353,8 +368,8 @@
   }
 
   double cached(const Request& r, const Server& s) const {
-    const double shared = std::min(cachedAt(shared_, r.ask.sharedBeginning, s), r.ask.sharedTokens);
-    return std::min(std::max(shared, cachedAt(sessions_, r.ask.session, s)), r.ask.promptTokens);
+    const double shared = std::min(cachedAt(shared_, r.ask.sharedBeginning, s), sharedAt(r, s));
+    return std::min(std::max(shared, cachedAt(sessions_, r.ask.session, s)), promptAt(r, s));
   }
 
   void remember(Table& table, PrefixKey key, ServerId server, double tokens) {
@@ -368,14 +383,15 @@
   // whatever cause: what the table says of it is void, so that no key is sent there for nothing.
   void correct(const Request& r, const Flight& f, double found) {
     Server& s = servers_[f.server];
-    if (f.promised == 0 && r.ask.sharedTokens > 0 && isHome(r, s))
-      homeShare_ += std::max(kHomeWeight, 1.0 / ++homeReads_) *
-                    (std::clamp(found / r.ask.sharedTokens, 0.0, 1.0) - homeShare_);
+    const double shared = sharedAt(r, s);
+    if (f.promised == 0 && shared > 0 && isHome(r, s))
+      homeShare_ +=
+          std::max(kHomeWeight, 1.0 / ++homeReads_) * (std::clamp(found / shared, 0.0, 1.0) - homeShare_);
     const bool broken = f.promised > 0 && found < f.promised / 2;
     s.emptyPromises = broken ? s.emptyPromises + 1 : 0;
     if (s.emptyPromises >= 2) s.tableFrom = now_;
-    remember(shared_, r.ask.sharedBeginning, f.server, r.ask.sharedTokens);
-    remember(sessions_, r.ask.session, f.server, r.ask.promptTokens);
+    remember(shared_, r.ask.sharedBeginning, f.server, shared);
+    remember(sessions_, r.ask.session, f.server, promptAt(r, s));
   }
 
   // ---- choosing a reader: least queue plus read ----
@@ -427,11 +443,11 @@
   // empty one where a router sees little of the traffic. Harm: a new beginning's first reads look too cheap.
   double expectedCached(const Request& r, const Server& s) const {
     const double kept = isHome(r, s) ? (1 - evidence_) * homeShare_ : 0;
-    return std::max(cached(r, s), kept * std::min(r.ask.sharedTokens, r.ask.promptTokens));
+    return std::max(cached(r, s), kept * std::min(sharedAt(r, s), promptAt(r, s)));
   }
 
   double readWork(const Request& r, const Server& s) const {
-    return curve_.predict(r.ask.promptTokens, expectedCached(r, s));
+    return curve_.predict(promptAt(r, s), expectedCached(r, s));
   }
 
   double readCost(const Request& r, const Server& s) const {
@@ -528,11 +544,11 @@
 
   // ---- choosing a writer: most room in the reader's cell ----
 
-  double tokensHeld(const Request& r) const {
+  double tokensHeld(const Request& r, const Server& s) const {
     const double perToken = std::max(1.0, asDouble(r.kind.tokenAim));
     const double output =
         r.ask.expectedOutput > 0 ? asDouble(r.ask.expectedOutput) / perToken : kOutputGuess * r.ask.maxOutput;
-    return r.ask.promptTokens + output;
+    return promptAt(r, s) + output;
   }
 
   // Share of its memory that a server holds: by its report, moved on by what was sent and ended since, and
@@ -573,15 +589,15 @@
   }
 
   const Server* pickWriter(const Request& r, std::uint64_t cell, double limit) const {
-    const double more = tokensHeld(r);
     const auto list = candidates(r, Role::writer);
     const auto mixed = candidates(r, Role::both);
-    const auto score = [&](const Server& s) { return fill(s, more) * speed(s); };
+    const auto score = [&](const Server& s) { return fill(s, tokensHeld(r, s)) * speed(s); };
     for (const bool near : {true, false})
       for (const auto* group : {&list, &mixed}) {
         auto part = *group;
-        std::erase_if(part,
-                      [&](auto* s) { return (near && s->info.cell != cell) || fill(*s, more) > limit; });
+        std::erase_if(part, [&](auto* s) {
+          return (near && s->info.cell != cell) || fill(*s, tokensHeld(r, *s)) > limit;
+        });
         if (const Server* best = least(part, order_, score)) return best;
       }
     return nullptr;
@@ -689,7 +705,7 @@
     if (!s) return lastLook || !answerableYet(r) ? end(r, true) : look(r, limit / kHoldLooks);
     Flight f{.server = s->info.id, .stage = Stage::write};
     f.predicted = writeTime_ * speed(*s);
-    f.held = tokensHeld(r);
+    f.held = tokensHeld(r, *s);
     send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
   }
 
@@ -727,7 +743,7 @@
     f.promised = cached(r, *s);
     f.work = readWork(r, *s);
     f.predicted = readCost(r, *s) + firstToken(*s);
-    f.held = tokensHeld(r);
+    f.held = tokensHeld(r, *s);
     if (!hopeful(r, f.predicted, r.aimAt)) return false;
     if (role == Role::writer && (r.attempts > 0 || fill(*s, f.held) > kEntryRoom)) return false;
     send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
@@ -852,9 +868,9 @@
   void readDone(Request& r, Server& s, const Flight& f, double found) {
     const double took = asDouble(now_ - f.sentAt);
     const double alone = asDouble(now_ - std::max(f.sentAt, s.readDoneAt));
-    curve_.learn(r.ask.promptTokens, found, alone / speed(s));
+    curve_.learn(promptAt(r, s), found, alone / speed(s));
     if (!s.report.queuedKiloTokens && !s.report.queuedRequests)
-      learnQueue(s, (1 - evidence_) * (alone - curve_.predict(r.ask.promptTokens, found) * speed(s)));
+      learnQueue(s, (1 - evidence_) * (alone - curve_.predict(promptAt(r, s), found) * speed(s)));
     learnSpeed(s, took / std::max(1.0, f.predicted / speed(s)));
     readTime_ += readTime_ == 0 ? alone : 0.05 * (alone - readTime_);
     s.readDoneAt = now_;
@@ -910,6 +926,10 @@
     forget(at->second);
   }
 
+  void on(const PromptCounted& event) {
+    if (const auto at = requests_.find(event.id); at != requests_.end()) at->second.ask.counts = event.counts;
+  }
+
   // ---- ends: one final answer, then nothing held ----
 
   // Refusing promises that a retry is harmless: only where nothing may have run.
--- a/src/decision/brain.h
+++ b/src/decision/brain.h
@@ -85,6 +85,8 @@
   ServerState state = ServerState::running;
   Micros startedAt = 0;  // 0: long ago
   double weight = 1;
+  std::uint64_t tokeniser = 0;  // which of a request's counts is this server's own; 0: none told
+  double promptFactor = 1;      // without one of those: its count over RequestArrived::promptTokens
 };
 
 struct ServerList {
@@ -99,6 +101,13 @@
   std::optional<double> queuedRequests;
 };
 
+// A prompt by the tokeniser of some servers.
+struct PromptCount {
+  std::uint64_t tokeniser = 0;
+  double promptTokens = 0;
+  double sharedTokens = 0;
+};
+
 struct RequestArrived {
   RequestId id;
   std::optional<std::size_t> requestClass;  // index; none: a class that the settings don't know
@@ -108,7 +117,14 @@
   double promptTokens = 0;
   double sharedTokens = 0;  // the part of them in the shared beginning
   double maxOutput = 0;
-  Micros expectedOutput = 0;  // rough length of the answer as time at tokenAim a token; 0: not told
+  Micros expectedOutput = 0;        // rough length of the answer as time at tokenAim a token; 0: not told
+  std::vector<PromptCount> counts;  // where servers count differently; see ServerEntry::tokeniser
+};
+
+// The counts of a request that is not answered yet, by the tokenisers that servers have now.
+struct PromptCounted {
+  RequestId id;
+  std::vector<PromptCount> counts;
 };
 
 struct StreamStarted {
@@ -144,7 +160,7 @@
 };
 
 using Event = std::variant<ServerList, RequestArrived, StreamStarted, AttemptEnded, RequestGone, TimerFired,
-                           ProbeEnded>;
+                           ProbeEnded, PromptCounted>;
 
 // ---- actions --------------------------------------------------------------------------------------
 
