Prompts are counted exactly before they are taken, by each engine's tokeniser version

A prompt's tokens were guessed as a quarter of its characters. Now the gRPC front has each text counted (at once where it is short or remembered, else on workers) and the module's event carries exact promptTokens and a count for each tokeniser in use. Engines are asked for theirs at /tokenizer_info, or the list tells it; a restart makes it unknown at once, a change reaches requests that wait, an engine whose reports differ from its file is not believed, and without a file its own ratio is learnt. A full queue, a late count or a failure falls back to the estimate, marked in log and summary. SIGHUP loads files again in the background; a bad one leaves the old working. Stand-ins count by code of their own and answer /tokenize.

--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -181,7 +181,7 @@
     if (started_ >= total_) return;
     const RequestId id{++started_};
     State& s = states_[id.value];
-    s.ask.prompt = prompt(started_);
+    s.ask.prompt = std::make_shared<const std::string>(prompt(started_));
     s.ask.maxOutput = 32;
     s.sent = loop_.now();
     engines_.begin(
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -61,6 +61,7 @@
   place(settings.listPath);
   place(settings.stateFolder);
   place(settings.log.file);
+  for (auto& f : settings.counting.files) place(f.path);
   return settings;
 }
 
--- a/src/counting/counter.cpp
+++ b/src/counting/counter.cpp
@@ -78,7 +78,8 @@
     open.done(counts);
     return {};
   }
-  open.late = timers_.after(options_.within, [this, ticket] {
+  const Micros within = prompt.within > 0 ? std::min(prompt.within, options_.within) : options_.within;
+  open.late = timers_.after(within, [this, ticket] {
     Open& o = open_.at(ticket);
     o.trouble = Estimate::late;
     ++counters_.estimatedLate;
--- a/src/counting/counter.h
+++ b/src/counting/counter.h
@@ -70,6 +70,8 @@
     std::size_t sharedOctets = 0;
     std::string session;
     bool specialTokens = false;
+    Micros within =
+        0;  // then the estimate is taken, or after the options' time where that is less; 0: after that
   };
   Counter(const CounterOptions& options, timing::Timers& timers,
           std::function<void(std::function<void()>)> post);
--- a/src/engine/attempt.h
+++ b/src/engine/attempt.h
@@ -64,4 +64,41 @@
   std::optional<LoadReport> report_;
 };
 
+// A whole body of bounded size; status 0 and no body where there was none.
+class DocumentExchange final : public Exchange {
+ public:
+  static constexpr std::size_t kMost = 256u << 10;
+  using Done = std::function<void(int status, const std::string& body)>;
+  explicit DocumentExchange(Done done) : done_(std::move(done)) {}
+  bool onHead(const http1::Head& head) override {
+    status_ = head.status;
+    return true;
+  }
+  bool onBody(std::string_view octets) override {
+    if (body_.size() + octets.size() <= kMost) {
+      body_ += octets;
+      return true;
+    }
+    status_ = 0;
+    body_.clear();
+    onEnd();
+    return false;
+  }
+  void onEnd() override {
+    if (!std::exchange(told_, true)) done_(status_, body_);
+  }
+  void onFailed(Outcome, const std::string&) override {
+    status_ = 0;
+    body_.clear();
+    onEnd();
+  }
+  void mute() override { told_ = true; }
+
+ private:
+  Done done_;
+  bool told_ = false;
+  int status_ = 0;
+  std::string body_;
+};
+
 }  // namespace garnethook::engine
--- a/src/engine/completions.cpp
+++ b/src/engine/completions.cpp
@@ -66,9 +66,10 @@
   json body;
   body["model"] = ask.model.empty() ? std::string(defaultModel) : ask.model;
   if (ask.promptIds.empty())
-    body["prompt"] = ask.prompt;
+    body["prompt"] = *ask.prompt;
   else
     body["prompt"] = ask.promptIds;
+  if (ask.specialTokens) body["special_tokens"] = true;
   if (ask.temperature) body["temperature"] = *ask.temperature;
   if (ask.seed) body["seed"] = *ask.seed;
   if (order.job == routing::Job::read) {
--- a/src/engine/http_engines.cpp
+++ b/src/engine/http_engines.cpp
@@ -145,6 +145,14 @@
                   requestText(e->spec, method, path, workId, body), options_.controlTimeout);
 }
 
+void HttpEngines::fetch(ServerId server, const std::string& path,
+                        std::function<void(int, const std::string&)> done) {
+  Engine* e = find(server);
+  if (e == nullptr || !e->resolved) return later([done = std::move(done)] { done(0, {}); });
+  connect(*e).run(std::make_unique<DocumentExchange>(std::move(done)),
+                  requestText(e->spec, "GET", path, {}, {}), options_.controlTimeout);
+}
+
 void HttpEngines::release(ServerId server, RequestId request, const std::string& workId) {
   const auto done = [this, server, request](int status, const std::optional<LoadReport>&) {
     // 404: the reader holds nothing for it, which is what is wanted.
--- a/src/engine/http_engines.h
+++ b/src/engine/http_engines.h
@@ -28,9 +28,12 @@
   void cancel(routing::AttemptId attempt) override;
   void release(ServerId server, RequestId request, const std::string& workId) override;
   void probe(ServerId server) override;
+  // GET of a document at most 256 KiB long; `done` comes later, with status 0 where there is no answer.
+  void fetch(ServerId server, const std::string& path, std::function<void(int, const std::string&)> done);
   // Reads no more of the attempt's answer, so that the engine's socket fills; and goes on.
   void pause(routing::AttemptId attempt, bool paused);
 
+  const std::string& tokeniserPath() const { return options_.tokeniserPath; }
   std::size_t busyConnections() const { return busy_.size(); }
   std::size_t attempts() const { return attempts_.size(); }
 
--- a/src/engine/options.h
+++ b/src/engine/options.h
@@ -13,7 +13,8 @@
   std::string completionsPath = "/v1/completions";
   std::string releasePath;  // empty: engines let go of states by their own time-out
   std::string probePath = "/health";
-  std::string sourceAddress;  // local address of connections; empty: the system's choice
+  std::string tokeniserPath = "/tokenizer_info";  // empty: engines are not asked
+  std::string sourceAddress;                      // local address of connections; empty: the system's choice
   Micros connectTimeout = 250'000;
   Micros controlTimeout = 400'000;      // of a release or a probe
   Micros idleTimeout = 30'000'000;      // an idle connection is closed after it
--- a/src/front/generate_call.cpp
+++ b/src/front/generate_call.cpp
@@ -59,10 +59,12 @@
   return out;
 }
 
-GenerateCall::GenerateCall(bool streamed, routing::Router& router, const IntakeOptions& intake,
-                           std::size_t waitingMost, std::optional<Micros> timeout, CallOutput& output)
+GenerateCall::GenerateCall(bool streamed, routing::Router& router, PromptCounting* counting,
+                           const IntakeOptions& intake, std::size_t waitingMost,
+                           std::optional<Micros> timeout, CallOutput& output)
     : streamed_(streamed),
       router_(router),
+      counting_(counting),
       intake_(intake),
       waitingMost_(waitingMost),
       timeout_(timeout),
@@ -90,12 +92,19 @@
   auto ask = takeIn(*request_, timeout_, intake_, trouble);
   request_->Clear();
   if (!ask) return refuseCall(grpc::Code::invalidArgument, trouble);
-  taken_ = true;
-  id_ = router_.take(std::move(*ask), *this);
+  const auto take = [this](routing::Ask counted) {
+    ticket_ = 0;
+    taken_ = true;
+    id_ = router_.take(std::move(counted), *this);
+  };
+  if (counting_ == nullptr || !ask->prompt) return take(std::move(*ask));
+  ticket_ = counting_->count(std::move(*ask), take);
 }
 
 void GenerateCall::onGone() {
-  if (std::exchange(over_, true) || !taken_) return;
+  if (std::exchange(over_, true)) return;
+  if (ticket_ != 0) counting_->cancel(std::exchange(ticket_, 0));
+  if (!taken_) return;
   router_.leave(id_);
 }
 
--- a/src/front/generate_call.h
+++ b/src/front/generate_call.h
@@ -3,14 +3,16 @@
 
 #include "front/call.h"
 #include "front/intake.h"
+#include "front/prompt_counting.h"
 
 namespace garnethook::front {
 
 class GenerateCall final : public Call, private routing::Client {
  public:
+  // `counting`: none, where prompts are taken as estimated.
   // `waitingMost`: octets of the answer that may wait for the client before it is given up.
-  GenerateCall(bool streamed, routing::Router& router, const IntakeOptions& intake, std::size_t waitingMost,
-               std::optional<Micros> timeout, CallOutput& output);
+  GenerateCall(bool streamed, routing::Router& router, PromptCounting* counting, const IntakeOptions& intake,
+               std::size_t waitingMost, std::optional<Micros> timeout, CallOutput& output);
   ~GenerateCall() override;
   void onMessage(std::string_view message) override;
   void onRequestEnd() override;
@@ -23,6 +25,8 @@
 
   bool streamed_;
   routing::Router& router_;
+  PromptCounting* counting_;
+  std::uint64_t ticket_ = 0;
   const IntakeOptions& intake_;
   std::size_t waitingMost_;
   std::optional<Micros> timeout_;
--- a/src/front/grpc_server.cpp
+++ b/src/front/grpc_server.cpp
@@ -152,7 +152,7 @@
 
   std::unique_ptr<Call> open(std::string_view path, Slot& slot, std::optional<Micros> timeout) {
     const auto generate = [&](bool streamed) {
-      return std::make_unique<GenerateCall>(streamed, owner_.router_, owner_.intake_,
+      return std::make_unique<GenerateCall>(streamed, owner_.router_, owner_.counting_, owner_.intake_,
                                             owner_.options_.waitingMost, timeout, slot);
     };
     if (path == "/garnethook.v1.Generation/Generate") return generate(true);
@@ -264,12 +264,14 @@
 };
 
 GrpcServer::GrpcServer(net::Loop& loop, const Poco::Net::SocketAddress& address, const GrpcOptions& options,
-                       const IntakeOptions& intake, routing::Router& router, HealthState& health)
+                       const IntakeOptions& intake, routing::Router& router, HealthState& health,
+                       PromptCounting* counting)
     : loop_(loop),
       options_(options),
       intake_(intake),
       router_(router),
       health_(health),
+      counting_(counting),
       listener_(loop, address, [this](Poco::Net::StreamSocket s) { accept(std::move(s)); }) {}
 
 GrpcServer::~GrpcServer() = default;
--- a/src/front/grpc_server.h
+++ b/src/front/grpc_server.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "front/intake.h"
+#include "front/prompt_counting.h"
 #include "front/service_calls.h"
 #include "http2/connection.h"
 #include "net/stream.h"
@@ -28,7 +29,8 @@
 class GrpcServer {
  public:
   GrpcServer(net::Loop& loop, const Poco::Net::SocketAddress& address, const GrpcOptions& options,
-             const IntakeOptions& intake, routing::Router& router, HealthState& health);
+             const IntakeOptions& intake, routing::Router& router, HealthState& health,
+             PromptCounting* counting = nullptr);
   ~GrpcServer();
 
   Poco::Net::SocketAddress address() const { return listener_.address(); }
@@ -52,6 +54,7 @@
   IntakeOptions intake_;
   routing::Router& router_;
   HealthState& health_;
+  PromptCounting* counting_;
   std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
   bool draining_ = false;
   net::Listener listener_;
--- a/src/front/intake.cpp
+++ b/src/front/intake.cpp
@@ -9,6 +9,12 @@
       text.begin(), text.end(), [](char c) { return (static_cast<std::uint8_t>(c) & 0xc0U) != 0x80; }));
 }
 
+std::size_t octetsOf(std::string_view text, std::size_t characters) {
+  for (std::size_t i = 0; i < text.size(); ++i)
+    if ((static_cast<std::uint8_t>(text[i]) & 0xc0U) != 0x80 && characters-- == 0) return i;
+  return text.size();
+}
+
 std::optional<routing::Ask> takeIn(const v1::GenerateRequest& request, std::optional<Micros> timeout,
                                    const IntakeOptions& options, std::string& trouble) {
   const auto refuse = [&](std::string text) {
@@ -53,9 +59,12 @@
     ask.promptTokens = static_cast<double>(ask.promptIds.size());
     ask.sharedTokens = length;
   } else {
-    ask.prompt = request.prompt();
+    ask.prompt = std::make_shared<const std::string>(request.prompt());
+    ask.specialTokens = request.special_tokens();
+    ask.estimated = true;
+    ask.sharedOctets = octetsOf(*ask.prompt, request.shared_beginning().length());
     ask.promptTokens =
-        std::max(1.0, static_cast<double>(characters(ask.prompt)) / options.charactersPerToken);
+        std::max(1.0, static_cast<double>(characters(*ask.prompt)) / options.charactersPerToken);
     ask.sharedTokens = length / options.charactersPerToken;
   }
   if (!request.shared_beginning().key().empty()) ask.shared = request.shared_beginning().key();
--- a/src/front/intake.h
+++ b/src/front/intake.h
@@ -23,6 +23,8 @@
 
 // Unicode code points of UTF-8 text.
 std::size_t characters(std::string_view text);
+// Octets of the first `characters` code points; all, where there are fewer.
+std::size_t octetsOf(std::string_view text, std::size_t characters);
 
 // The request as the core takes it; where it can't be taken, none, and `trouble` names the field.
 std::optional<routing::Ask> takeIn(const v1::GenerateRequest& request, std::optional<Micros> timeout,
--- a/src/membership/engine_list.cpp
+++ b/src/membership/engine_list.cpp
@@ -38,6 +38,12 @@
   e.cell = node.text("cell", "");
   e.state = static_cast<ServerState>(node.choice("state", kStates, 0));
   e.startedAt = node.integer("started_ms", 0, 0, std::int64_t{1} << 50) * 1000;
+  if (node.has("tokeniser")) {
+    const config::Node t = node.object("tokeniser");
+    e.tokeniser = t.text("name");
+    e.tokeniserVersion = t.text("version", "");
+    t.done();
+  }
   node.done();
   return e;
 }
@@ -90,14 +96,17 @@
 
 std::string writeList(const EngineMap& engines) {
   nlohmann::ordered_json list = nlohmann::ordered_json::array();
-  for (const auto& [name, e] : engines)
-    list.push_back({{"name", e.name},
-                    {"address", e.host + ":" + std::to_string(e.port)},
-                    {"kind", e.kind},
-                    {"zone", e.zone},
-                    {"cell", e.cell},
-                    {"state", kStates[static_cast<std::size_t>(e.state)]},
-                    {"started_ms", e.startedAt / 1000}});
+  for (const auto& [name, e] : engines) {
+    nlohmann::ordered_json entry{{"name", e.name},
+                                 {"address", e.host + ":" + std::to_string(e.port)},
+                                 {"kind", e.kind},
+                                 {"zone", e.zone},
+                                 {"cell", e.cell},
+                                 {"state", kStates[static_cast<std::size_t>(e.state)]},
+                                 {"started_ms", e.startedAt / 1000}};
+    if (!e.tokeniser.empty()) entry["tokeniser"] = {{"name", e.tokeniser}, {"version", e.tokeniserVersion}};
+    list.push_back(std::move(entry));
+  }
   return nlohmann::ordered_json{{"engines", list}}.dump(2) + "\n";
 }
 
--- a/src/membership/engine_list.h
+++ b/src/membership/engine_list.h
@@ -21,7 +21,9 @@
   std::string zone;
   std::string cell;
   ServerState state = ServerState::running;
-  Micros startedAt = 0;  // since 1970; 0: long ago
+  Micros startedAt = 0;   // since 1970; 0: long ago
+  std::string tokeniser;  // name; empty: the list tells none
+  std::string tokeniserVersion;
   friend bool operator==(const EngineSpec&, const EngineSpec&) = default;
 };
 using EngineMap = std::map<std::string, EngineSpec>;  // by name
@@ -35,8 +37,9 @@
 };
 
 // Reads one list: { "engines": [ { "name", "address": "HOST:PORT", "kind", "zone", "cell", "state",
-// "started_ms" } ] }. An entry that can't be used is told in `troubles` and keeps what `before` holds under
-// its name; a file that is no list throws config::Error, and `before` stands.
+// "started_ms",
+// "tokeniser": { "name", "version" } } ] }. An entry that can't be used is told in `troubles` and keeps what
+// `before` holds under its name; a file that is no list throws config::Error, and `before` stands.
 EngineMap readList(const std::shared_ptr<const config::JsonFile>& file, const EngineMap& before,
                    std::vector<std::string>& troubles);
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -81,6 +81,7 @@
   event.promptTokens = life.ask.promptTokens;
   event.sharedTokens = std::min(life.ask.sharedTokens, life.ask.promptTokens);
   event.maxOutput = life.ask.maxOutput;
+  event.counts = life.ask.counts;
   give(event);
   return id;
 }
@@ -103,6 +104,18 @@
   give(RequestGone{id});
 }
 
+void Router::recounted(RequestId id, std::vector<PromptCount> counts) {
+  Life* life = find(id);
+  if (life == nullptr || life->client == nullptr) return;
+  life->ask.counts = counts;
+  give(PromptCounted{id, std::move(counts)});
+}
+
+void Router::eachWaiting(const std::function<void(RequestId, const Ask&)>& call) const {
+  for (const auto& [id, life] : lives_)
+    if (life.client != nullptr && life.nextToken == 0) call({id}, life.ask);
+}
+
 void Router::onList(const ServerList& list) {
   if (list.kind == ServerList::Kind::complete || list.kind == ServerList::Kind::remembered) running_.clear();
   for (const ServerEntry& e : list.entries) {
@@ -348,7 +361,10 @@
                      .foundTokens = result.foundTokens,
                      .stateMissing = result.stateMissing,
                      .report = result.report};
-  if (result.promptTokens > 0) life->usage.promptTokens = result.promptTokens;
+  if (result.promptTokens > 0) {
+    life->usage.promptTokens = result.promptTokens;
+    if (out.job != Job::write) observer_.onPromptRead(out.server, life->ask, result.promptTokens);
+  }
   if (result.foundTokens > 0) life->usage.cachedTokens = static_cast<std::uint32_t>(result.foundTokens);
   switch (result.outcome) {
     case Outcome::readDone:
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -52,6 +53,8 @@
   virtual ~Observer() = default;
   virtual void onAttempt(const Order&) {}
   virtual void onAttemptEnded(AttemptId, ServerId, const AttemptResult&) {}
+  // An engine read the prompt and told how many tokens it has.
+  virtual void onPromptRead(ServerId, const Ask&, double /*tokens*/) {}
   virtual void onFinal(RequestId, const Ask&, const Ending&, Micros /*took*/) {}
   virtual void onLeft(RequestId) {}
   virtual void onModuleLog(const std::string&) {}
@@ -71,6 +74,10 @@
   void leave(RequestId id);
   // As leave(), and the client is told the ending first.
   void giveUp(RequestId id, Cause cause, const std::string& text);
+  // The counts of a request that is open, anew. Others are left alone.
+  void recounted(RequestId id, std::vector<PromptCount> counts);
+  // Requests whose answer has not begun.
+  void eachWaiting(const std::function<void(RequestId, const Ask&)>& call) const;
   // What the list of engines tells; see ServerList.
   void onList(const ServerList& list);
   // Every request that is still open gets its final answer now; new ones are refused.
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -20,8 +21,12 @@
   std::string shared;            // key of the shared beginning; empty: none
   double promptTokens = 0;
   double sharedTokens = 0;
-  std::string prompt;                    // or
-  std::vector<std::uint32_t> promptIds;  // token ids
+  std::vector<PromptCount> counts;            // by the tokenisers of engines, where they are known
+  bool estimated = false;                     // promptTokens is a guess by the text's length
+  std::size_t sharedOctets = 0;               // of the prompt: the shared beginning
+  bool specialTokens = false;                 // special tokens' text in the prompt is meant as such
+  std::shared_ptr<const std::string> prompt;  // or
+  std::vector<std::uint32_t> promptIds;       // token ids
   std::uint32_t maxOutput = 0;
   std::vector<std::string> stop;
   std::optional<double> temperature;
--- /dev/null
+++ b/src/sentencepiece_helper/main.cpp
@@ -0,0 +1,54 @@
+// garnethook-sentencepiece MODEL: encodes texts with the SentencePiece library, asked over standard input and
+// output.
+//
+// A process of its own since the library carries a protobuf whose symbols meet those of the system's, which
+// the router uses; and a text or model that ends it does not end the router. Messages, numbers in this
+// machine's order: in, a uint32 length and the text; out, a uint32 count and as many uint32 ids, or
+// 0xffffffff, a uint32 length and an error. The first message out tells the number of tokens in the model as
+// a count of 1 and that id.
+#include <sentencepiece_processor.h>
+
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace {
+
+bool put(const void* data, std::size_t size) { return std::fwrite(data, 1, size, stdout) == size; }
+bool number(std::uint32_t n) { return put(&n, sizeof n); }
+bool failed(const std::string& text) {
+  return number(0xffffffff) && number(static_cast<std::uint32_t>(text.size())) &&
+         put(text.data(), text.size()) && std::fflush(stdout) == 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc != 2) return 2;
+  sentencepiece::SentencePieceProcessor processor;
+  if (const auto status = processor.Load(argv[1]); !status.ok()) {
+    failed(status.ToString());
+    return 1;
+  }
+  if (!number(1) || !number(static_cast<std::uint32_t>(processor.GetPieceSize())) || std::fflush(stdout) != 0)
+    return 1;
+  std::string text;
+  std::vector<int> ids;
+  for (;;) {
+    std::uint32_t length = 0;
+    if (std::fread(&length, sizeof length, 1, stdin) != 1) return 0;
+    if (length > (64U << 20)) return 1;
+    text.resize(length);
+    if (length > 0 && std::fread(text.data(), 1, length, stdin) != length) return 1;
+    ids.clear();
+    const auto status = processor.Encode(text, &ids);
+    if (!status.ok()) {
+      if (!failed(status.ToString())) return 1;
+      continue;
+    }
+    if (!number(static_cast<std::uint32_t>(ids.size())) || !put(ids.data(), ids.size() * sizeof(int)) ||
+        std::fflush(stdout) != 0)
+      return 1;
+  }
+}
--- a/src/server/router_server.cpp
+++ b/src/server/router_server.cpp
@@ -36,6 +36,7 @@
       log_(std::move(log)),
       list_(settings.listPath, rememberedPath(settings.stateFolder)),
       engines_(loop, settings.engine),
+      counts_(loop, settings.counting, engines_, log_, [this] { tellCounts(); }),
       pollAlarm_(loop),
       drainAlarm_(loop) {
   if (!settings_.stateFolder.empty()) std::filesystem::create_directories(settings_.stateFolder);
@@ -43,6 +44,7 @@
   settings_.routing.instance = std::move(instance);
   router_ = std::make_unique<routing::Router>(settings_.routing, loop_, engines_, *this);
   engines_.setEvents(*router_);
+  counts_.setRouter(*router_);
   const auto change = list_.look();
   for (const auto& trouble : change.troubles) log_.warn("engine-list", {{"trouble", trouble}});
   if (change.changed) {
@@ -54,7 +56,8 @@
     if (recalled) tell(ServerList::Kind::remembered);
   }
   front_ = std::make_unique<front::GrpcServer>(loop_, Poco::Net::SocketAddress(settings_.listen),
-                                               settings_.grpc, settings_.intake, *router_, health_);
+                                               settings_.grpc, settings_.intake, *router_, health_,
+                                               counts_.on() ? &counts_ : nullptr);
   health_.set(true);
   log_.info("listening", {{"address", address().toString()}, {"engines", list_.engines().size()}});
   pollAlarm_.start(settings_.listPoll, [this] { poll(); });
@@ -88,7 +91,17 @@
   log_.info("engine-list",
             {{"engines", list_.engines().size()}, {"remembered", kind == ServerList::Kind::remembered}});
   engines_.update(list_.engines());
-  router_->onList(membership::toServerList(list_.engines(), settings_.names, kind));
+  counts_.onList(list_.engines());
+  auto list = membership::toServerList(list_.engines(), settings_.names, kind);
+  counts_.fill(list);
+  router_->onList(list);
+}
+
+// Engines count otherwise now; nothing else of the list changed.
+void RouterServer::tellCounts() {
+  auto list = membership::toServerList(list_.engines(), settings_.names, ServerList::Kind::changes);
+  counts_.fill(list);
+  router_->onList(list);
 }
 
 std::string RouterServer::nameOf(ServerId id) const {
@@ -130,6 +143,8 @@
                                                                                : "failed"},
                            {"cause", name(ending.cause)},
                            {"text", ending.text},
+                           {"prompt_tokens", ask.promptTokens},
+                           {"estimated", ask.estimated},
                            {"tokens", ending.usage.outputTokens},
                            {"attempts", ending.usage.attempts},
                            {"took_ms", took / 1000},
@@ -166,8 +181,11 @@
   front_->setIntake(settings.intake);
   settings_.log = settings.log;
   log_.setLevel(settings.log.level);
+  counts_.reload(settings.counting.files);
   lookAtList();
-  log_.info("reloaded", {{"note", "requests and log.level are in force; other changes need a restart"}});
+  log_.info(
+      "reloaded",
+      {{"note", "requests, log.level and the tokenisers' files are in force; other changes need a restart"}});
 }
 
 void RouterServer::drain(std::function<void()> done) {
@@ -181,7 +199,8 @@
 
 void RouterServer::checkDrained() {
   if (loop_.now() >= drainUntil_) router_->stop();
-  const bool over = router_->open() == 0 && router_->held().held() + router_->held().releasing() == 0;
+  const bool over = router_->open() == 0 && counts_.open() == 0 &&
+                    router_->held().held() + router_->held().releasing() == 0;
   const bool given = loop_.now() >= drainUntil_ + settings_.engine.controlTimeout * 2;
   if (!over && !given) return drainAlarm_.start(20'000, [this] { checkDrained(); });
   front_->close();
@@ -198,7 +217,7 @@
          std::to_string(router_->held().held()) + ", being released " +
          std::to_string(router_->held().releasing()) + ", released " +
          std::to_string(router_->held().released()) + ", given up " +
-         std::to_string(router_->held().abandoned());
+         std::to_string(router_->held().abandoned()) + (counts_.on() ? "; " + counts_.summary() : "");
 }
 
 }  // namespace garnethook::server
--- a/src/server/router_server.h
+++ b/src/server/router_server.h
@@ -10,6 +10,7 @@
 #include "log/log.h"
 #include "net/loop.h"
 #include "server/settings.h"
+#include "server/token_counts.h"
 
 namespace garnethook::server {
 
@@ -31,6 +32,7 @@
   const routing::Router& router() const { return *router_; }
   const engine::HttpEngines& engines() const { return engines_; }
   const front::GrpcServer& front() const { return *front_; }
+  const TokenCounts& counts() const { return counts_; }
   // Looks at the list now, not at the next poll.
   void lookAtList();
   std::string summary() const;
@@ -40,12 +42,16 @@
  private:
   void onAttempt(const routing::Order& order) override;
   void onAttemptEnded(routing::AttemptId id, ServerId server, const routing::AttemptResult& result) override;
+  void onPromptRead(ServerId server, const routing::Ask& ask, double tokens) override {
+    counts_.onPromptRead(server, ask, tokens);
+  }
   void onFinal(RequestId id, const routing::Ask& ask, const routing::Ending& ending, Micros took) override;
   void onLeft(RequestId id) override;
   void onModuleLog(const std::string& text) override;
   void onDecision(Micros now, const Event& event, const std::vector<Action>& actions) override;
   void poll();
   void tell(ServerList::Kind kind);
+  void tellCounts();
   void checkDrained();
   std::string nameOf(ServerId id) const;
 
@@ -56,6 +62,7 @@
   std::map<std::uint64_t, std::string> names_;
   front::HealthState health_;
   engine::HttpEngines engines_;
+  TokenCounts counts_;
   std::unique_ptr<routing::Router> router_;
   std::unique_ptr<front::GrpcServer> front_;
   timing::Alarm pollAlarm_;
--- a/src/server/settings.cpp
+++ b/src/server/settings.cpp
@@ -27,6 +27,38 @@
   return c;
 }
 
+TokeniserFile readTokeniser(const Node& n) {
+  TokeniserFile f;
+  f.version.name = n.text("name");
+  f.version.version = n.text("version", "");
+  f.path = n.text("file");
+  f.options.format =
+      static_cast<tokeniser::Format>(n.choice("format", {"ranks", "huggingface", "sentencepiece"}, 1));
+  f.options.pattern = n.text("pattern", "");
+  if (f.options.format != tokeniser::Format::ranks && !f.options.pattern.empty())
+    n.failAt("pattern", "belongs to ranks files only");
+  const Node specials = n.object("special_tokens");
+  if (specials.raw().is_object())
+    for (const auto& [text, id] : specials.raw().items())
+      f.options.specialTokens.emplace_back(text, static_cast<tokeniser::TokenId>(specials.integer(
+                                                     text, 0, 0, tokeniser::Vocabulary::kMostTokens)));
+  specials.done();
+  if (f.options.format != tokeniser::Format::ranks && !f.options.specialTokens.empty())
+    n.failAt("special_tokens", "belongs to ranks files only");
+  for (const auto& [key, ids] :
+       {std::pair{"before", &f.options.before}, std::pair{"behind", &f.options.behind}})
+    for (const Node& id : n.array(key)) {
+      if (!id.raw().is_number_unsigned() || id.raw() >= tokeniser::Vocabulary::kMostTokens)
+        n.failAt(key, "is no list of token ids");
+      ids->push_back(id.raw().get<tokeniser::TokenId>());
+    }
+  if (f.options.format == tokeniser::Format::huggingFace &&
+      !(f.options.before.empty() && f.options.behind.empty()))
+    n.failAt("before", "a tokenizer.json tells this itself");
+  n.done();
+  return f;
+}
+
 void unique(const std::vector<std::string>& names, const Node& root, std::string_view key) {
   std::set<std::string> seen;
   for (const auto& name : names)
@@ -109,6 +141,7 @@
   out.engine.completionsPath = engines.text("completions_path", out.engine.completionsPath);
   out.engine.releasePath = engines.text("release_path", "");
   out.engine.probePath = engines.text("probe_path", out.engine.probePath);
+  out.engine.tokeniserPath = engines.text("tokeniser_path", out.engine.tokeniserPath);
   out.engine.sourceAddress = engines.text("source_address", "");
   s.mayProbe = engines.flag("probe", true);
   s.mayCancel = engines.flag("cancel", true);
@@ -144,6 +177,35 @@
   out.intake.classNames = out.classNames;
   for (const auto& c : s.classes) out.intake.deadlines.push_back(c.deadline);
 
+  std::set<counting::VersionName> versions;
+  for (const Node& n : root.array("tokenisers")) {
+    out.counting.files.push_back(readTokeniser(n));
+    if (!versions.insert(out.counting.files.back().version).second)
+      n.failAt("version", "\"" + counting::text(out.counting.files.back().version) + "\" stands twice");
+  }
+  const Node counting = root.object("counting");
+  auto& c = out.counting.counter;
+  c.pool.queue.workers = static_cast<unsigned>(counting.integer("workers", 2, 1, 256));
+  c.pool.queue.budgets[0].jobs =
+      static_cast<std::size_t>(counting.integer("waiting_prompts", 1024, 1, 1'000'000));
+  c.pool.queue.budgets[0].cost =
+      static_cast<std::size_t>(counting.number("waiting_mb", 64, 0.001, 1e5) * 1e6);
+  c.store.countOctets = static_cast<std::size_t>(counting.number("count_cache_mb", 32, 0.1, 1e5) * 1e6);
+  c.store.sessionOctets = static_cast<std::size_t>(counting.number("session_ids_mb", 64, 0.1, 1e5) * 1e6);
+  c.sessionIds = counting.flag("session_ids", false);
+  c.inlineOctets = static_cast<std::size_t>(counting.integer("inline_bytes", 2048, 0, 1 << 20));
+  c.within = counting.micros("within_ms", 200, 1, kHour);
+  c.charactersPerToken = out.intake.charactersPerToken;
+  out.counting.versions.askEvery = counting.micros("ask_every_ms", 5000, 10, kHour);
+  const std::string usual = counting.text("usual", "");
+  const std::string usualVersion = counting.text("usual_version", "");
+  if (!usual.empty()) {
+    out.counting.versions.usual = counting::VersionName{usual, usualVersion};
+    if (!versions.contains(*out.counting.versions.usual))
+      counting.failAt("usual", "is not among the tokenisers");
+  }
+  counting.done();
+
   const Node log = root.object("log");
   const std::vector<std::string> levels{"debug", "info", "warn", "error"};
   out.log.level = levels[log.choice("level", levels, 1)];
--- a/src/server/settings.h
+++ b/src/server/settings.h
@@ -10,6 +10,7 @@
 #include "front/grpc_server.h"
 #include "membership/engine_list.h"
 #include "routing/router.h"
+#include "server/token_counts.h"
 
 namespace garnethook::server {
 
@@ -26,6 +27,7 @@
   engine::Options engine;
   front::GrpcOptions grpc;
   front::IntakeOptions intake;
+  CountingSettings counting;
   std::string listPath;
   std::string stateFolder;  // empty: nothing survives a restart
   Micros listPoll = 250'000;
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -113,9 +113,32 @@
   if (target == "/v1/kv/release" && request.head.method == "POST") return onRelease(request, reply);
   if (faults.silent || fell_) return;
   if (target == "/health") return reply->send(faults.error ? 500 : 200, fields("text/plain"), "");
+  if (target == "/tokenize" && request.head.method == "POST") return onTokenise(request, reply);
+  if (target == "/tokenizer_info" && options_.tokeniser && options_.tellsTokeniser)
+    return reply->send(200, fields("application/json"),
+                       json{{"tokenizer_class", "ByteLevelBPE"},
+                            {"name_or_path", options_.tokeniser->name()},
+                            {"version", options_.tokeniser->version()}}
+                           .dump());
+  if (target == "/version") return reply->send(200, fields("application/json"), R"({"version":"stand-in"})");
   reply->send(404, fields("application/json"), R"({"error":{"message":"no such path"}})");
 }
 
+std::uint32_t Engine::tokensOf(const std::string& text, bool special) const {
+  if (!options_.tokeniser) return countTokens(text);
+  return static_cast<std::uint32_t>(options_.tokeniser->encode(text, special).size());
+}
+
+void Engine::onTokenise(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object() || !body.contains("prompt") || !body["prompt"].is_string() || !options_.tokeniser)
+    return reply->send(400, fields("application/json"), R"({"error":{"message":"prompt: is missing"}})");
+  const auto ids =
+      options_.tokeniser->encode(body["prompt"].get<std::string>(), body.value("special_tokens", false));
+  reply->send(200, fields("application/json"),
+              json{{"count", ids.size()}, {"max_model_len", options_.memoryTokens}, {"tokens", ids}}.dump());
+}
+
 void Engine::onRelease(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) {
   if (faults.silent || fell_) return;
   const json body = json::parse(request.body, nullptr, false);
@@ -163,7 +186,7 @@
     return reply->send(400, fields("application/json"), R"({"error":{"message":"prompt: is missing"}})");
   if (body["prompt"].is_string()) {
     work->prompt = body["prompt"].get<std::string>();
-    work->promptTokens = countTokens(work->prompt);
+    work->promptTokens = std::max(1U, tokensOf(work->prompt, body.value("special_tokens", false)));
   } else {
     work->prompt = body["prompt"].dump();
     work->promptTokens = static_cast<std::uint32_t>(body["prompt"].size());
@@ -264,8 +287,9 @@
     return after(scaled(work->promptTokens / options_.linkPerSecond * 1e6 * far * link), work,
                  &Engine::fetched);
   }
-  work->cached =
-      std::min<std::uint32_t>(static_cast<std::uint32_t>(cache_.find(work->prompt) / 4), work->promptTokens);
+  const double kept = static_cast<double>(cache_.find(work->prompt)) /
+                      static_cast<double>(std::max<std::size_t>(work->prompt.size(), 1));
+  work->cached = static_cast<std::uint32_t>(std::min(1.0, kept) * work->promptTokens);
   const double micros = static_cast<double>(options_.readBase) +
                         (work->promptTokens - work->cached) / options_.readPerSecond * 1e6;
   after(scaled(micros), work, &Engine::readDone);
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -14,6 +14,7 @@
 #include "brain.h"
 #include "standin/answer.h"
 #include "standin/http_server.h"
+#include "standin/own_tokeniser.h"
 #include "standin/prefix_cache.h"
 #include "standin/recorder.h"
 
@@ -40,8 +41,10 @@
   Micros warmWithin = 0;           // 0: never cold
   double fallMultiple = 2.5;
   Micros fallAfter = 2'000'000;
-  Micros stateLife = 20'000'000;  // a state that nobody fetches or releases is dropped
-  bool cancelStops = true;        // a running read ends when its client goes away
+  Micros stateLife = 20'000'000;                  // a state that nobody fetches or releases is dropped
+  bool cancelStops = true;                        // a running read ends when its client goes away
+  std::shared_ptr<const OwnTokeniser> tokeniser;  // none: a token for every four characters
+  bool tellsTokeniser = true;                     // at /tokenizer_info
 };
 
 struct Faults {
@@ -74,6 +77,10 @@
   Faults faults;
   void setTrickle(Micros apart);
 
+  // With another one from the next start.
+  void setTokeniser(std::shared_ptr<const OwnTokeniser> tokeniser) {
+    options_.tokeniser = std::move(tokeniser);
+  }
   // Stops: connections are reset, work and states are gone.
   void stop();
   // Starts again, with an empty cache; cold where the options say so.
@@ -115,6 +122,8 @@
 
   void onRequest(HttpRequest request, std::shared_ptr<HttpReply> reply);
   void onCompletion(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply);
+  void onTokenise(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply);
+  std::uint32_t tokensOf(const std::string& text, bool special) const;
   void onRelease(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply);
   void enter(const WorkPtr& work);
   void run(const WorkPtr& work);
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -2,12 +2,23 @@
 
 #include <cstdio>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 
+#include "standin/made_vocabulary.h"
+
 namespace garnethook::standin {
 
+std::shared_ptr<const OwnTokeniser> madeTokeniser(std::uint64_t seed) {
+  auto made = std::make_shared<OwnTokeniser>("made", std::to_string(seed), madeRanks(seed),
+                                             tokeniser::knownPattern("cl100k_base"));
+  made->addSpecial("<|end|>", kMadeSpecial);
+  return made;
+}
+
 std::vector<EngineOptions> readFleet(const config::Node& root, std::string_view key) {
   std::vector<EngineOptions> out;
+  std::map<std::int64_t, std::shared_ptr<const OwnTokeniser>> made;
   for (const auto& n : root.array(key)) {
     EngineOptions o;
     const std::string name = n.text("name");
@@ -34,6 +45,12 @@
     o.fallAfter = n.micros("fall_after_ms", 2000, 1, 1e6);
     o.stateLife = n.micros("state_life_ms", 20'000, 1, 1e7);
     o.cancelStops = n.flag("cancel_stops", true);
+    o.tellsTokeniser = n.flag("tells_tokeniser", true);
+    if (const auto seed = n.integer("made_tokeniser", 0, 0, 1'000'000); seed > 0) {
+      auto& tokeniser = made[seed];
+      if (!tokeniser) tokeniser = madeTokeniser(static_cast<std::uint64_t>(seed));
+      o.tokeniser = tokeniser;
+    }
     n.done();
     for (std::int64_t i = 1; i <= std::max<std::int64_t>(1, count); ++i) {
       o.name = count > 0 ? name + "-" + std::to_string(i) : name;
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -10,6 +10,11 @@
 
 namespace garnethook::standin {
 
+// The tokeniser "made", version "SEED": madeRanks(SEED) with the pattern cl100k_base and the special token
+// <|end|>.
+constexpr std::uint32_t kMadeSpecial = 100'001;
+std::shared_ptr<const OwnTokeniser> madeTokeniser(std::uint64_t seed);
+
 // Engines as a settings file describes them: [ { "name", "count", "kind", "role", ... } ]; with "count" N the
 // names are name-1 to name-N.
 std::vector<EngineOptions> readFleet(const config::Node& root, std::string_view key);
--- a/src/standin/made_vocabulary.h
+++ b/src/standin/made_vocabulary.h
@@ -8,6 +8,6 @@
 
 // A ranks file (".tiktoken") of 256 octets and `merges` merges (fewer where the text gives no more), trained
 // on words drawn from the seed. Two seeds give vocabularies that count the same text differently.
-std::string madeRanks(std::uint64_t seed, std::size_t merges = 700);
+std::string madeRanks(std::uint64_t seed, std::size_t merges = 400);
 
 }  // namespace garnethook::standin
--- a/src/standin/own_tokeniser.cpp
+++ b/src/standin/own_tokeniser.cpp
@@ -8,7 +8,7 @@
 namespace garnethook::standin {
 namespace {
 
-std::string plain(std::string_view base64) {
+std::string octetsOf(std::string_view base64) {
   constexpr std::string_view kLetters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string out;
   std::uint32_t bits = 0;
@@ -34,18 +34,36 @@
   std::istringstream in{std::string(ranks)};
   std::string token;
   std::uint32_t rank = 0;
-  while (in >> token >> rank) ranks_[plain(token)] = rank;
+  while (in >> token >> rank) ranks_[octetsOf(token)] = rank;
   if (ranks_.size() < 256) throw std::invalid_argument("no ranks file");
 }
 
-std::vector<std::uint32_t> OwnTokeniser::encode(std::string_view text) const {
+std::vector<std::uint32_t> OwnTokeniser::encode(std::string_view text, bool special) const {
   std::vector<std::uint32_t> ids;
+  std::size_t from = 0;
+  for (std::size_t at = 0; special && at < text.size();) {
+    const std::pair<const std::string, std::uint32_t>* best = nullptr;
+    for (const auto& s : specials_)
+      if (text.substr(at).starts_with(s.first) && (best == nullptr || s.first.size() > best->first.size()))
+        best = &s;
+    if (best == nullptr) {
+      ++at;
+      continue;
+    }
+    plain(text.substr(from, at - from), ids);
+    ids.push_back(best->second);
+    at = from = at + best->first.size();
+  }
+  plain(text.substr(from), ids);
+  return ids;
+}
+
+void OwnTokeniser::plain(std::string_view text, std::vector<std::uint32_t>& ids) const {
   tokeniser::Pattern::Match match;
   for (std::size_t at = 0; at < text.size(); at = match.end) {
     if (pattern_.next(text, at, false, match, workspace_) != tokeniser::Pattern::Look::found) break;
     merge(std::string(text.substr(match.begin, match.end - match.begin)), ids);
   }
-  return ids;
 }
 
 // Parts by their first octet; of all neighbours whose octets are a token the lowest rank first, leftmost of
--- a/src/tokeniser/tokeniser.cpp
+++ b/src/tokeniser/tokeniser.cpp
@@ -39,7 +39,7 @@
   switch (options.format) {
     case Format::ranks: return readRanks(path, octets, options);
     case Format::huggingFace: return readHuggingFace(path, octets);
-    default: return readSentencePiece(path, octets, options);
+    default: return startSentencePiece(path, options);
   }
 }
 
--- a/src/tokeniser/tokeniser.h
+++ b/src/tokeniser/tokeniser.h
@@ -86,7 +86,7 @@
 std::shared_ptr<const Tokeniser> readRanks(const std::string& name, std::string_view octets,
                                            const FileOptions& options);
 std::shared_ptr<const Tokeniser> readHuggingFace(const std::string& name, std::string_view octets);
-std::shared_ptr<const Tokeniser> readSentencePiece(const std::string& name, std::string_view octets,
-                                                   const FileOptions& options);
+// Of a file's path, since another process reads it: garnethook-sentencepiece, beside this program.
+std::shared_ptr<const Tokeniser> startSentencePiece(const std::string& path, const FileOptions& options);
 
 }  // namespace garnethook::tokeniser
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -80,7 +80,7 @@
     Ask a;
     a.requestClass = kind;
     a.remaining = remaining;
-    a.prompt = "p";
+    a.prompt = std::make_shared<const std::string>("p");
     a.promptTokens = 100;
     a.maxOutput = 10;
     return router.take(a, c);
