--- a/src/counting/counter.cpp
+++ b/src/counting/counter.cpp
@@ -48,7 +48,7 @@
       if (open.octets <= options_.lookOctets && !options_.sessionIds && part.count->remembered()) {
         part.known = true;
         ++counters_.remembered;
-      } else if (open.octets <= options_.inlineOctets) {
+      } else if (open.octets <= options_.inlineOctets && t.tokeniser->inParts()) {
         while (part.count->slice(options_.inlineOctets) > 0) {}
         part.known = true;
         ++counters_.inLoop;
--- a/tests/counting_test.cpp
+++ b/tests/counting_test.cpp
@@ -1,10 +1,12 @@
 // Counts remembered, beginnings gone on from, versions of engines.
 #include <gtest/gtest.h>
 
+#include <future>
 #include <map>
 #include <random>
 
 #include "counting/counter.h"
+#include "net/loop.h"
 #include "standin/made_vocabulary.h"
 #include "standin/own_tokeniser.h"
 #include "tokeniser/utf8.h"
@@ -228,6 +230,58 @@
   EXPECT_FALSE(sessions.find(digester.of({}, 'x', "huge")));
 }
 
+// Stands for a tokeniser that another process runs, and that has stopped answering.
+class Hanging final : public Tokeniser {
+ public:
+  explicit Hanging(std::shared_future<void> open) : open_(std::move(open)) {}
+  std::optional<string> normalised(std::string_view, const tokeniser::TextOptions&) const override {
+    return std::nullopt;
+  }
+  tokeniser::Mark advance(std::string_view text, tokeniser::Mark, std::size_t, const tokeniser::TextOptions&,
+                          tokeniser::Workspace&, std::vector<tokeniser::TokenId>*) const override {
+    open_.wait();
+    return {text.size(), 1};
+  }
+  string octets(tokeniser::TokenId) const override { return {}; }
+  bool inParts() const override { return false; }
+  std::size_t memory() const override { return 0; }
+  string describe() const override { return "hanging"; }
+
+ private:
+  std::shared_future<void> open_;
+};
+
+TEST(Counter, ATokeniserThatHangsHoldsUpNeitherTheLoopNorTheRequest) {
+  std::promise<void> open;
+  net::Loop loop;
+  CounterOptions options;
+  options.within = 20'000;
+  auto counter =
+      std::make_unique<Counter>(options, loop, [&](std::function<void()> t) { loop.post(std::move(t)); });
+  const std::vector<Loaded> hanging{{1, {"h", "1"}, std::make_shared<Hanging>(open.get_future().share())}};
+  std::optional<PromptCounts> counts;
+  int turns = 0;
+  std::function<void()> turn = [&] {
+    ++turns;
+    if (!counts) loop.after(1000, turn);
+  };
+  loop.after(0, [&] {
+    turn();
+    counter->count({std::make_shared<const string>("eight ch"), 0, "", false}, hanging,
+                   [&](const PromptCounts& c) {
+                     counts = c;
+                     loop.stop();
+                   });
+  });
+  loop.run();
+  open.set_value();
+  counter.reset();
+  ASSERT_TRUE(counts);
+  EXPECT_EQ(counts->estimate, Estimate::late);
+  EXPECT_EQ(counts->main, 2);
+  EXPECT_GT(turns, 5);
+}
+
 constexpr Micros kMs = 1000;
 const VersionName kOne{"model", "1"};
 const VersionName kTwo{"model", "2"};
