Loop: what another thread posts ends the poll at once

Counts that workers had made waited for the loop's poll to end by itself, up to 100 ms: POCO's wakeUp() ends a sleep, not a poll. An octet on a socket pair does.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,7 +1,14 @@
 #include "net/loop.h"
 
+#include <Poco/Net/StreamSocketImpl.h>
+#include <Poco/Observer.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <stdexcept>
 #include <utility>
 
 namespace garnethook::net {
@@ -23,10 +30,20 @@
 
 }  // namespace
 
-Loop::Loop() : wallAtStart_(wall()), steadyAtStart_(steady()), wheel_(kTick, wallAtStart_) { setWait(); }
+Loop::Loop() : wallAtStart_(wall()), steadyAtStart_(steady()), wheel_(kTick, wallAtStart_) {
+  std::array<int, 2> ends{};
+  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, ends.data()) != 0)
+    throw std::runtime_error("no socket pair for the loop");
+  woken_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(ends[0]));
+  waker_ = ends[1];
+  addEventHandler(woken_, Poco::Observer<Loop, Poco::Net::ReadableNotification>(*this, &Loop::onWake));
+  setWait();
+}
 
 // What tasks hold may have timers here, and may post: it goes while both still stand.
 Loop::~Loop() {
+  removeEventHandler(woken_, Poco::Observer<Loop, Poco::Net::ReadableNotification>(*this, &Loop::onWake));
+  ::close(waker_);
   wheel_.clear();
   while (!posted_.empty()) {
     const auto tasks = std::exchange(posted_, {});
@@ -51,7 +68,19 @@
   if (std::this_thread::get_id() == thread_.load())
     setTimeout(Poco::Timespan(0));  // the poll that comes next must not wait
   else
-    wakeUp();
+    wake();
+}
+
+// A full pair has an octet in it already.
+void Loop::wake() {
+  const char octet = 0;
+  [[maybe_unused]] const auto sent = ::send(waker_, &octet, 1, MSG_NOSIGNAL);
+}
+
+void Loop::onWake(Poco::Net::ReadableNotification* notification) {
+  notification->release();
+  std::array<char, 256> octets{};
+  while (::recv(woken_.impl()->sockfd(), octets.data(), octets.size(), 0) > 0) {}
 }
 
 void Loop::run() {
@@ -61,7 +90,7 @@
 
 void Loop::stop() {
   Poco::Net::SocketReactor::stop();
-  wakeUp();
+  wake();
 }
 
 void Loop::turn() {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <Poco/Net/Socket.h>
+#include <Poco/Net/SocketNotification.h>
 #include <Poco/Net/SocketReactor.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <atomic>
 #include <functional>
@@ -41,6 +43,8 @@
  private:
   void turn();
   void setWait();
+  void wake();
+  void onWake(Poco::Net::ReadableNotification* notification);
 
   Micros wallAtStart_;
   Micros steadyAtStart_;
@@ -49,6 +53,9 @@
   std::vector<std::function<void()>> posted_;
   std::atomic<bool> hasPosted_ = false;
   std::atomic<std::thread::id> thread_{};
+  // POCO's own wakeUp() ends no poll; an octet on this pair does.
+  Poco::Net::StreamSocket woken_;
+  int waker_ = -1;
 };
 
 }  // namespace garnethook::net
