Made vocabularies: base 64 by OpenSSL in place of two encoders by hand

The made vocabularies and the fuzz seeds each wrote base 64 by hand though the library that both link serves. EVP_EncodeBlock does it now.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -10,6 +10,6 @@
 mkdir -p build-fuzz/corpus
 build-fuzz/fuzz_codecs -artifact_prefix=build-fuzz/ -max_total_time="$seconds" -max_len=4096 -print_final_stats=1 build-fuzz/corpus
 mkdir -p build-fuzz/corpus-tokenisers
-c++ -std=c++20 -O1 -DGARNETHOOK_FUZZ_STANDALONE -Isrc tests/fuzz/tokenisers.cpp src/tokeniser/*.cpp -lpcre2-8 -lutf8proc -lxxhash -o build-fuzz/seeds
+c++ -std=c++20 -O1 -DGARNETHOOK_FUZZ_STANDALONE -Isrc tests/fuzz/tokenisers.cpp src/tokeniser/*.cpp -lpcre2-8 -lutf8proc -lxxhash -lcrypto -o build-fuzz/seeds
 build-fuzz/seeds --seeds build-fuzz/corpus-tokenisers
 build-fuzz/fuzz_tokenisers -artifact_prefix=build-fuzz/ -max_total_time="$seconds" -max_len=8192 -print_final_stats=1 build-fuzz/corpus-tokenisers
--- a/src/standin/made_vocabulary.cpp
+++ b/src/standin/made_vocabulary.cpp
@@ -1,5 +1,7 @@
 #include "standin/made_vocabulary.h"
 
+#include <openssl/evp.h>
+
 #include <set>
 #include <string_view>
 #include <unordered_map>
@@ -9,15 +11,10 @@
 namespace {
 
 std::string base64(std::string_view octets) {
-  constexpr std::string_view kLetters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string out;
-  for (std::size_t i = 0; i < octets.size(); i += 3) {
-    std::uint32_t bits = 0;
-    const std::size_t left = std::min<std::size_t>(3, octets.size() - i);
-    for (std::size_t k = 0; k < 3; ++k)
-      bits = bits << 8 | (k < left ? static_cast<std::uint8_t>(octets[i + k]) : 0U);
-    for (std::size_t k = 0; k < 4; ++k) out += k <= left ? kLetters[bits >> (18 - 6 * k) & 63] : '=';
-  }
+  std::string out((octets.size() + 2) / 3 * 4 + 1, '\0');  // the library ends it with a zero
+  out.resize(static_cast<std::size_t>(EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                                      reinterpret_cast<const unsigned char*>(octets.data()),
+                                                      static_cast<int>(octets.size()))));
   return out;
 }
 
--- a/tests/fuzz/tokenisers.cpp
+++ b/tests/fuzz/tokenisers.cpp
@@ -2,6 +2,8 @@
 // trips. The first octet chooses. libFuzzer: scripts/fuzz.sh; without it, a seeded run that damages valid
 // files.
 // `--seeds FOLDER` writes those files as a corpus to begin with.
+#include <openssl/evp.h>
+
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -22,15 +24,10 @@
 }
 
 std::string base64(std::string_view octets) {
-  constexpr std::string_view kLetters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string out;
-  for (std::size_t i = 0; i < octets.size(); i += 3) {
-    std::uint32_t bits = 0;
-    const std::size_t left = std::min<std::size_t>(3, octets.size() - i);
-    for (std::size_t k = 0; k < 3; ++k)
-      bits = bits << 8 | (k < left ? static_cast<std::uint8_t>(octets[i + k]) : 0U);
-    for (std::size_t k = 0; k < 4; ++k) out += k <= left ? kLetters[bits >> (18 - 6 * k) & 63] : '=';
-  }
+  std::string out((octets.size() + 2) / 3 * 4 + 1, '\0');  // the library ends it with a zero
+  out.resize(static_cast<std::size_t>(EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                                      reinterpret_cast<const unsigned char*>(octets.data()),
+                                                      static_cast<int>(octets.size()))));
   return out;
 }
 
