--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -37,4 +37,8 @@
 int drill(const DrillOptions& options);
 int auditFile(const std::string& recording);
 
+// The router on the platform whose environment tells all: RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY,
+// RELAY_CONFIG. SIGTERM drains it, SIGHUP reads the configuration anew.
+int run(const std::string& logLevel);
+
 }  // namespace garnethook::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -16,6 +16,12 @@
   serveCommand->add_option("--config", config, "Settings, JSON with comments")->required();
   serveCommand->callback([&] { code = serve(config); });
 
+  std::string runLevel = "info";
+  auto* runCommand = program.add_subcommand(
+      "run", "Run the router on the platform that RELAY_CONFIG and the other RELAY_ variables tell of");
+  runCommand->add_option("--log", runLevel, "Log level")->envname("GARNETHOOK_LOG")->capture_default_str();
+  runCommand->callback([&] { code = run(runLevel); });
+
   auto* checkCommand = program.add_subcommand("check", "Check the settings and the engine list");
   checkCommand->add_option("--config", config, "Settings, JSON with comments")->required();
   checkCommand->callback([&] { code = check(config); });
--- a/src/benchwire/wire.cpp
+++ b/src/benchwire/wire.cpp
@@ -2,174 +2,29 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <cmath>
 #include <istream>
-#include <limits>
+#include <map>
 #include <ostream>
 #include <utility>
 
 namespace garnethook::wire {
-
-LineError::LineError(std::string_view field, std::string_view trouble)
-    : std::runtime_error("field '" + std::string(field) + "': " + std::string(trouble)) {}
-
 namespace {
 
-std::vector<std::string_view> split(std::string_view text, char separator) {
-  std::vector<std::string_view> parts;
-  while (!text.empty()) {
-    const auto end = std::min(text.find(separator), text.size());
-    if (end > 0) parts.push_back(text.substr(0, end));
-    text.remove_prefix(std::min(end + 1, text.size()));
-  }
-  return parts;
-}
-
-double toNumber(std::string_view field, std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
-    throw LineError(field, "not a number");
-  return value;
-}
-
-std::uint64_t toWhole(std::string_view field, std::string_view text) {
-  std::uint64_t value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) throw LineError(field, "not a whole number");
-  return value;
-}
-
-Micros toMicros(std::string_view field, double milliseconds) {
-  constexpr double kLimit = 9e15;  // in milliseconds x 1000 still exact and far from overflow
-  if (std::abs(milliseconds) > kLimit / 1000) throw LineError(field, "time out of range");
-  return std::llround(milliseconds * 1000);
-}
-
-// The name=value parts of one line, in any order. The first of two equal names counts.
-class Fields {
- public:
-  explicit Fields(std::string_view line) {
-    auto parts = split(line, ' ');
-    for (auto part = parts.begin() + (parts.empty() ? 0 : 1); part != parts.end(); ++part) {
-      const auto equals = part->find('=');
-      if (equals == std::string_view::npos) throw LineError(*part, "no '=' in this part");
-      values_.emplace(part->substr(0, equals), part->substr(equals + 1));
-    }
-  }
-
-  std::optional<std::string_view> find(std::string_view name) const {
-    const auto at = values_.find(name);
-    if (at == values_.end()) return std::nullopt;
-    return at->second;
-  }
-  std::string_view text(std::string_view name) const {
-    const auto value = find(name);
-    if (!value) throw LineError(name, "missing");
-    return *value;
-  }
-  std::string_view text(std::string_view name, std::string_view absent) const {
-    return find(name).value_or(absent);
-  }
-  std::uint64_t whole(std::string_view name) const { return toWhole(name, text(name)); }
-  std::uint64_t whole(std::string_view name, std::uint64_t absent) const {
-    const auto value = find(name);
-    return value ? toWhole(name, *value) : absent;
-  }
-  double number(std::string_view name) const { return toNumber(name, text(name)); }
-  double number(std::string_view name, double absent) const {
-    const auto value = find(name);
-    return value ? toNumber(name, *value) : absent;
-  }
-  double amount(std::string_view name, double absent) const {
-    const double value = number(name, absent);
-    if (value < 0) throw LineError(name, "negative");
-    return value;
-  }
-  Micros time(std::string_view name) const { return toMicros(name, number(name)); }
-  Micros time(std::string_view name, Micros absent) const {
-    const auto value = find(name);
-    return value ? toMicros(name, toNumber(name, *value)) : absent;
-  }
-  bool flag(std::string_view name) const {
-    const auto value = text(name, "0");
-    if (value == "1" || value == "true") return true;
-    if (value == "0" || value == "false") return false;
-    throw LineError(name, "neither 1 nor 0");
-  }
-  int smallInt(std::string_view name) const {
-    const auto value = whole(name);
-    if (value > std::uint64_t{std::numeric_limits<int>::max()}) throw LineError(name, "too large");
-    return static_cast<int>(value);
-  }
-
- private:
-  std::map<std::string_view, std::string_view> values_;
-};
-
-std::vector<std::string> names(std::string_view list) {
-  const auto parts = split(list, ',');
-  return {parts.begin(), parts.end()};
-}
-
-double listItem(const Fields& fields, std::string_view name, std::size_t index) {
-  const auto parts = split(fields.text(name, ""), ',');
-  return index < parts.size() ? toNumber(name, parts[index]) : 0;
-}
-
-Effect toEffect(std::string_view field, std::string_view word) {
-  if (word == "read_like") return Effect::safe;
-  if (word == "idempotency_key") return Effect::keyed;
-  if (word == "non_idempotent") return Effect::unsafe;
-  throw LineError(field, "unknown effect");
-}
-
-RepeatScope toScope(std::string_view word) {
-  if (word == "all") return RepeatScope::everywhere;
-  if (word == "zone") return RepeatScope::zone;
-  return RepeatScope::cell;  // the narrowest also stands for words not known yet
-}
-
-Role toRole(std::string_view word) {
-  if (word == "read") return Role::reader;
-  if (word == "write") return Role::writer;
-  return Role::both;
-}
-
-RequestClass parseClass(const Fields& fields, std::size_t index) {
-  const std::string path = "profiles." + std::to_string(index) + ".";
-  RequestClass result;
-  result.aim = fields.time(path + "aimMs", 0);
-  result.aimPerKiloToken = std::llround(listItem(fields, "familyInfo.aimUsPer1000PromptTokens", index));
-  result.deadline = fields.time(path + "deadlineMs", 0);
-  result.tokenAim = toMicros("familyInfo.tokenAimMs", listItem(fields, "familyInfo.tokenAimMs", index));
-  result.worth = fields.number(path + "worth", 1);
-  result.lateShare = fields.number(path + "lateShare", 0);
-  result.effect = toEffect(path + "effect", fields.text(path + "effect"));
-  result.scope = toScope(fields.text(path + "group", "all"));
-  result.repeatWindow = fields.time(path + "windowMs", 0);
-  return result;
-}
-
-void parseRules(const Fields& fields, Settings& settings) {
-  settings.answerSlack = fields.time("rules.graceToAnswerMs", 0);
-  settings.askWithin = fields.time("rules.askWithinMs", 0);
-  settings.coldFrom = fields.number("rules.coldFrom", 1);
-  settings.warmWithin = fields.time("rules.warmWithinMs", 0);
-  settings.fallMultiple = fields.number("rules.fallMultiple", 0);
-  settings.fallAfter = fields.time("rules.tipAfterMs", 0);
-  settings.releaseWithin = fields.time("familyInfo.releaseWithinMs", 0);
-}
-
-std::optional<std::size_t> indexOf(const std::vector<std::string>& list, std::string_view name) {
-  const auto at = std::find(list.begin(), list.end(), name);
-  if (at == list.end()) return std::nullopt;
-  return static_cast<std::size_t>(at - list.begin());
-}
-
-bool contains(std::string_view text, std::string_view part) {
-  return text.find(part) != std::string_view::npos;
+using provision::Facts;
+using provision::indexOf;
+using provision::split;
+using provision::toNumber;
+
+// The name=value parts of one line, in any order.
+Facts factsOf(std::string_view line) {
+  Facts facts;
+  const auto parts = split(line, ' ');
+  for (std::size_t at = 1; at < parts.size(); ++at) {
+    const auto equals = parts[at].find('=');
+    if (equals == std::string_view::npos) throw LineError(parts[at], "no '=' in this part");
+    facts.add(parts[at].substr(0, equals), parts[at].substr(equals + 1));
+  }
+  return facts;
 }
 
 // One hosted instance, with the names that its lines use.
@@ -178,12 +33,7 @@
   std::unique_ptr<Decider> decider;
 };
 
-void addReportValue(LoadReport& report, std::string_view meaning, double value) {
-  if (contains(meaning, "share_of_memory")) report.memoryShare = value;
-  if (contains(meaning, "thousands_of_prompt_tokens")) report.queuedKiloTokens = value;
-}
-
-std::optional<LoadReport> parseReport(const Fields& fields, const Provision& provision) {
+std::optional<LoadReport> parseReport(const Facts& fields, const Provision& provision) {
   const auto text = fields.find("report");
   if (!text || text->empty() || *text == "-") return std::nullopt;
   LoadReport report;
@@ -192,14 +42,12 @@
     if (colon == std::string_view::npos) throw LineError("report", "no ':' in '" + std::string(part) + "'");
     const auto name = part.substr(0, colon);
     const double value = toNumber("report", part.substr(colon + 1));
-    if (name == "queue") report.queuedRequests = value;
-    if (name == "x0") addReportValue(report, provision.x0Meaning, value);
-    if (name == "x1") addReportValue(report, provision.x1Meaning, value);
+    provision::addReportValue(report, provision.report, name, value);
   }
   return report;
 }
 
-RequestArrived parseArrival(const Fields& fields, const Provision& provision) {
+RequestArrived parseArrival(const Facts& fields, const Provision& provision) {
   RequestArrived event;
   event.id = {fields.whole("txn")};
   event.requestClass = indexOf(provision.classNames, fields.text("band"));
@@ -229,7 +77,7 @@
   return at == kWords.end() ? Outcome::error : at->second;  // an unknown ending proves nothing
 }
 
-AttemptEnded parseEnd(const Fields& fields, const Provision& provision) {
+AttemptEnded parseEnd(const Facts& fields, const Provision& provision) {
   AttemptEnded event;
   event.id = {fields.whole("txn")};
   event.attempt = fields.smallInt("trial");
@@ -244,7 +92,7 @@
 }
 
 ServerEntry parseEntry(std::string_view line, const Provision& provision) {
-  const Fields fields(line);
+  const Facts fields = factsOf(line);
   ServerEntry entry;
   entry.id = {fields.whole("engine")};
   entry.zone = indexOf(provision.zoneNames, fields.text("hall", ""));
@@ -357,7 +205,7 @@
  private:
   void serveBatch(const std::vector<std::string>& lines) {
     reply_.clear();
-    const bool clockRead = guarded(0, [&] { now_ = Fields(lines[0]).time("simTimeMs"); });
+    const bool clockRead = guarded(0, [&] { now_ = factsOf(lines[0]).time("simTimeMs"); });
     for (std::size_t at = 1; clockRead && at + 1 < lines.size();) {
       const std::size_t start = at++;
       while (at + 1 < lines.size() && verbOf(lines[at]) == "ITEM") ++at;
@@ -390,11 +238,11 @@
     const auto verb = verbOf(line);
     if (verb == "PROVISION") return provision(line);
     if (verb == "DOWN") {
-      instances_.erase(Fields(line).whole("i"));
+      instances_.erase(factsOf(line).whole("i"));
       return;
     }
     if (std::find(kEventVerbs.begin(), kEventVerbs.end(), verb) == kEventVerbs.end()) return;
-    const Fields fields(line);
+    const Facts fields = factsOf(line);
     const auto number = fields.whole("i");
     const auto at = instances_.find(number);
     if (at == instances_.end()) throw LineError("i", "no such instance");
@@ -410,7 +258,7 @@
             ProbeEnded{{fields.whole("engine")}, fields.text("ending") == "OK", parseReport(fields, known)});
   }
 
-  ServerList parseList(const Fields& fields, const std::vector<std::string>& lines, std::size_t start,
+  ServerList parseList(const Facts& fields, const std::vector<std::string>& lines, std::size_t start,
                        std::size_t end, const Provision& known) {
     ServerList list{toListKind(fields.text("mode")), {}};
     if (fields.whole("rows", 0) != end - start - 1) throw LineError("rows", "differs from the ITEM lines");
@@ -419,7 +267,7 @@
   }
 
   void provision(std::string_view line) {
-    const auto number = Fields(line).whole("i");
+    const auto number = factsOf(line).whole("i");
     Provision provision = parseProvision(line);
     instances_.erase(number);
     panicking(number, [&] {
@@ -482,36 +330,8 @@
 }  // namespace
 
 Provision parseProvision(std::string_view line) {
-  const Fields fields(line);
-  Provision result;
-  result.seed = fields.whole("nonce64", 0);
-  result.zoneNames = names(fields.text("zones", ""));
-  result.kindNames = names(fields.text("skus", ""));
-  result.x0Meaning = fields.text("familyInfo.reportX0", "");
-  result.x1Meaning = fields.text("familyInfo.reportX1", "");
-  Settings& settings = result.settings;
-  const auto roles = names(fields.text("familyInfo.kindRole", ""));
-  for (std::size_t at = 0; at < result.kindNames.size(); ++at)
-    settings.kinds.push_back({toRole(roles.empty() ? "both" : roles[std::min(at, roles.size() - 1)]),
-                              listItem(fields, "familyInfo.memoryTokens", at)});
-  for (std::size_t at = 0; at < fields.whole("profiles.count", 0); ++at) {
-    settings.classes.push_back(parseClass(fields, at));
-    result.classNames.emplace_back(fields.text("profiles." + std::to_string(at) + ".name"));
-  }
-  settings.zones = std::max<std::size_t>(1, result.zoneNames.size());
-  settings.ownZone = indexOf(result.zoneNames, fields.text("az", "")).value_or(0);
-  settings.routers = fields.whole("balancers", 1);
-  settings.discovery = fields.text("discovery", "push") == "ask" ? Discovery::ask : Discovery::push;
-  settings.maxAttempts = fields.find("allowed.attemptsCap") ? fields.smallInt("allowed.attemptsCap") : 1;
-  settings.mayCancel = fields.flag("allowed.mayCancel");
-  settings.mayProbe = fields.flag("allowed.probes");
-  settings.connectTimeout = fields.time("allowed.dialTimeoutMs", 0);
-  settings.writersRead = fields.flag("familyInfo.selfPrefill");
-  settings.mayMoveStreams = fields.flag("familyInfo.resume");
-  settings.passesRetryAfter = fields.flag("allowed.retryAfter");
-  settings.maxRetryAfter = fields.time("allowed.maxRetryAfterMs", 0);
-  parseRules(fields, settings);
-  return result;
+  const Facts facts = factsOf(line);
+  return {provision::readProvision(facts), facts.whole("nonce64", 0)};
 }
 
 std::unique_ptr<Decider> makeBrain(const Settings& settings, std::uint64_t seed) {
--- a/src/benchwire/wire.h
+++ b/src/benchwire/wire.h
@@ -4,31 +4,22 @@
 
 #include <functional>
 #include <iosfwd>
-#include <map>
-#include <stdexcept>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "brain.h"
+#include "provision/provision.h"
 
 namespace garnethook::wire {
 
 // A line that can't be understood; names the field at fault.
-class LineError : public std::runtime_error {
- public:
-  LineError(std::string_view field, std::string_view trouble);
-};
+using LineError = provision::FactError;
 
-// Settings as told at an instance's start, with the names that later lines use.
-struct Provision {
-  Settings settings;
+// An instance's start: its settings and the seed of its random numbers.
+struct Provision : provision::Provision {
   std::uint64_t seed = 0;
-  std::vector<std::string> classNames;
-  std::vector<std::string> kindNames;
-  std::vector<std::string> zoneNames;
-  std::string x0Meaning;
-  std::string x1Meaning;
 };
 
 Provision parseProvision(std::string_view line);
--- a/src/engine/connection.cpp
+++ b/src/engine/connection.cpp
@@ -3,13 +3,6 @@
 #include <utility>
 
 namespace garnethook::engine {
-namespace {
-
-// A streamed answer has no bound of its own here: its events do, and the router ends those that go on too
-// long.
-constexpr http1::MessageLimits kLimits{.headBytes = 32 * 1024, .bodyBytes = std::size_t{1} << 32};
-
-}  // namespace
 
 Connection::Connection(net::Loop& loop, const Options& options, const Poco::Net::SocketAddress& to,
                        ServerId server, ConnectionOwner& owner)
@@ -17,7 +10,7 @@
       server_(server),
       owner_(owner),
       timer_(loop),
-      parser_(http1::MessageParser::Kind::response, kLimits, *this),
+      parser_(http1::MessageParser::Kind::response, options.message, *this),
       stream_(loop, to, options.sourceAddress, options.connectTimeout, *this) {}
 
 void Connection::run(std::unique_ptr<Exchange> exchange, std::string request, Micros limit) {
@@ -55,6 +48,9 @@
   if (!stream_.connected())
     return fail(Outcome::connectFailed,
                 cause == net::CloseCause::timedOut ? "no connection in time" : "no connection");
+  // What was never written whole was never begun.
+  if (stream_.unsent() > 0 && !answered_)
+    return fail(Outcome::connectFailed, "the connection broke off before the request was written");
   if (cause == net::CloseCause::peerClosed && parser_.close() && over_) return free(false);
   fail(Outcome::reset, answered_ ? "the connection broke off in the answer" : "the connection broke off");
 }
--- a/src/engine/connection.h
+++ b/src/engine/connection.h
@@ -34,7 +34,8 @@
   // Waits idle, and closes itself after the idle time-out.
   void rest();
   void pause(bool paused) { stream_.pauseReading(paused); }
-  bool usable() const { return stream_.open() && !parser_.midway(); }
+  // Octets that wait unasked for would be taken for the next answer.
+  bool usable() const { return !parser_.midway() && stream_.quiet(); }
   ServerId server() const { return server_; }
 
   // The attempt that it carries, for its owner's books.
--- /dev/null
+++ b/src/engine/pool.cpp
@@ -0,0 +1,147 @@
+#include "engine/pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace garnethook::engine {
+
+void Pool::later(std::function<void()> task) {
+  loop_.post([task = std::move(task), alive = alive_] {
+    if (*alive) task();
+  });
+}
+
+const membership::EngineSpec* Pool::find(ServerId server) const {
+  const auto at = engines_.find(server.value);
+  return at == engines_.end() || !at->second.resolved ? nullptr : &at->second.spec;
+}
+
+std::vector<ServerId> Pool::listed() const {
+  std::vector<ServerId> out;
+  for (const auto& [id, e] : engines_)
+    if (e.listed && e.resolved) out.push_back({id});
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+bool Pool::full(ServerId server) const {
+  const auto at = engines_.find(server.value);
+  return at != engines_.end() && (at->second.busy >= options_.connections ||
+                                  (options_.allConnections > 0 && busy_.size() >= options_.allConnections));
+}
+
+void Pool::update(const membership::EngineMap& engines) {
+  for (auto& [id, e] : engines_) e.listed = false;
+  for (const auto& [name, spec] : engines) {
+    Engine& e = engines_[spec.id.value];
+    const bool moved = e.spec.host != spec.host || e.spec.port != spec.port;
+    if (moved || e.spec.startedAt != spec.startedAt) closeIdle(e);
+    e.spec = spec;
+    e.listed = true;
+    if (!moved && e.resolved) continue;
+    try {
+      e.address = Poco::Net::SocketAddress(spec.host, spec.port);
+      e.resolved = true;
+    } catch (const Poco::Exception&) {
+      e.resolved = false;  // attempts there end with no connection
+    }
+  }
+  for (auto& [id, e] : engines_)
+    if (!e.listed) closeIdle(e);
+  std::erase_if(engines_, [](const auto& item) { return !item.second.listed && item.second.busy == 0; });
+}
+
+void Pool::closeIdle(Engine& e) {
+  idle_ -= e.idle.size();
+  for (auto& c : e.idle) discard(std::move(c));
+  e.idle.clear();
+}
+
+// Idle connections give way to new ones where all together are bounded: the engine with most of them gives up
+// the one that has rested longest.
+void Pool::makeRoom() {
+  if (options_.allConnections == 0 || busy_.size() + idle_ < options_.allConnections) return;
+  Engine* most = nullptr;
+  for (auto& [id, e] : engines_)
+    if (!e.idle.empty() && (most == nullptr || e.idle.size() > most->idle.size())) most = &e;
+  if (most == nullptr) return;
+  discard(std::move(most->idle.front()));
+  most->idle.erase(most->idle.begin());
+  --idle_;
+}
+
+Connection& Pool::connect(Engine& e) {
+  std::unique_ptr<Connection> own;
+  while (!own && !e.idle.empty()) {
+    own = std::move(e.idle.back());
+    e.idle.pop_back();
+    --idle_;
+    if (!own->usable()) discard(std::move(own));
+  }
+  if (!own) {
+    makeRoom();
+    ++opened_;
+    own = std::make_unique<Connection>(loop_, options_, e.address, e.spec.id,
+                                       static_cast<ConnectionOwner&>(*this));
+  }
+  Connection& c = *own;
+  busy_[&c] = std::move(own);
+  ++e.busy;
+  return c;
+}
+
+void Pool::onFree(Connection& connection, bool reusable) {
+  std::unique_ptr<Connection> own;
+  const auto engine = engines_.find(connection.server().value);
+  Engine* e = engine == engines_.end() ? nullptr : &engine->second;
+  if (const auto at = busy_.find(&connection); at != busy_.end()) {
+    own = std::move(at->second);
+    busy_.erase(at);
+    if (e != nullptr) --e->busy;
+  } else if (e != nullptr) {
+    const auto same = [&](const auto& c) { return c.get() == &connection; };
+    if (const auto idle = std::find_if(e->idle.begin(), e->idle.end(), same); idle != e->idle.end()) {
+      own = std::move(*idle);
+      e->idle.erase(idle);
+      --idle_;
+    }
+  }
+  if (!own) return;
+  if (own->attempt) attempts_.erase(*std::exchange(own->attempt, std::nullopt));
+  if (reusable && e != nullptr && e->listed && e->idle.size() < options_.idle) {
+    own->rest();
+    e->idle.push_back(std::move(own));
+    ++idle_;
+  } else {
+    discard(std::move(own));
+  }
+}
+
+// A connection is often given up from within its own call, so it ends in the loop's next turn.
+void Pool::discard(std::unique_ptr<Connection> connection) {
+  loop_.post([c = std::shared_ptr<Connection>(std::move(connection))] {});
+}
+
+void Pool::run(ServerId server, std::unique_ptr<Exchange> exchange, std::string request, Micros limit) {
+  connect(engines_.at(server.value)).run(std::move(exchange), std::move(request), limit);
+}
+
+void Pool::run(routing::AttemptId attempt, ServerId server, std::unique_ptr<Exchange> exchange,
+               std::string request) {
+  Connection& c = connect(engines_.at(server.value));
+  c.attempt = attempt;
+  attempts_[attempt] = &c;
+  c.run(std::move(exchange), std::move(request), 0);
+}
+
+void Pool::abandon(routing::AttemptId attempt) {
+  const auto at = attempts_.find(attempt);
+  if (at != attempts_.end()) at->second->abandon();
+}
+
+void Pool::pause(routing::AttemptId attempt, bool paused) {
+  const auto at = attempts_.find(attempt);
+  if (at != attempts_.end()) at->second->pause(paused);
+}
+
+}  // namespace garnethook::engine
--- /dev/null
+++ b/src/engine/pool.h
@@ -0,0 +1,80 @@
+// Pooled, bounded connections to engines on the loop, one exchange at a time on each. Whatever protocol is
+// spoken on them stands on this one pool.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "engine/connection.h"
+#include "engine/options.h"
+#include "membership/engine_list.h"
+#include "routing/types.h"
+
+namespace garnethook::engine {
+
+class Pool final : private ConnectionOwner {
+ public:
+  Pool(net::Loop& loop, const Options& options) : loop_(loop), options_(options) {}
+  ~Pool() override { *alive_ = false; }
+
+  // The engines as listed now. Exchanges with one that left go on; its idle connections are closed.
+  void update(const membership::EngineMap& engines);
+  // Nothing where the engine is not known, or its address can't be used.
+  const membership::EngineSpec* find(ServerId server) const;
+  // Every engine that is listed and has an address.
+  std::vector<ServerId> listed() const;
+  // All connections that may be used for attempts are busy.
+  bool full(ServerId server) const;
+
+  // On an idle connection or a new one; `limit` as for Connection::run. The engine must be found.
+  void run(ServerId server, std::unique_ptr<Exchange> exchange, std::string request, Micros limit);
+  void run(routing::AttemptId attempt, ServerId server, std::unique_ptr<Exchange> exchange,
+           std::string request);
+  // Ends the attempt's exchange and its connection; nothing of it is told any more.
+  void abandon(routing::AttemptId attempt);
+  // Reads no more of the attempt's answer, so that the engine's socket fills; and goes on.
+  void pause(routing::AttemptId attempt, bool paused);
+  // Runs in the loop's next turn, unless the pool has ended by then.
+  void later(std::function<void()> task);
+
+  const Options& options() const { return options_; }
+  std::size_t busyConnections() const { return busy_.size(); }
+  std::size_t idleConnections() const { return idle_; }
+  std::size_t attempts() const { return attempts_.size(); }
+  std::uint64_t opened() const { return opened_; }  // connections, since the start
+
+ private:
+  struct Engine {
+    membership::EngineSpec spec;
+    Poco::Net::SocketAddress address;
+    bool resolved = false;
+    bool listed = false;
+    std::vector<std::unique_ptr<Connection>> idle;
+    std::size_t busy = 0;
+  };
+  struct AttemptHash {
+    std::size_t operator()(const routing::AttemptId& a) const {
+      return static_cast<std::size_t>(a.request.value * 31 + static_cast<std::uint64_t>(a.number));
+    }
+  };
+
+  void onFree(Connection& connection, bool reusable) override;
+  Connection& connect(Engine& e);
+  void makeRoom();
+  void discard(std::unique_ptr<Connection> connection);
+  void closeIdle(Engine& e);
+
+  net::Loop& loop_;
+  Options options_;
+  std::unordered_map<std::uint64_t, Engine> engines_;
+  std::unordered_map<Connection*, std::unique_ptr<Connection>> busy_;
+  std::unordered_map<routing::AttemptId, Connection*, AttemptHash> attempts_;
+  std::size_t idle_ = 0;
+  std::uint64_t opened_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace garnethook::engine
--- a/src/http1/event_stream.cpp
+++ b/src/http1/event_stream.cpp
@@ -29,7 +29,9 @@
   if (text.empty()) {
     const Event event = std::exchange(event_, {});
     if (std::exchange(hasData_, false)) handler_(event);
-  } else if (text.front() != ':') {
+  } else if (text.front() == ':') {
+    if (comment_) comment_(text.substr(1));
+  } else {
     const auto colon = text.find(':');
     const auto name = text.substr(0, colon);
     auto value = colon == std::string_view::npos ? std::string_view() : text.substr(colon + 1);
--- a/src/http1/event_stream.h
+++ b/src/http1/event_stream.h
@@ -18,6 +18,8 @@
   // `most`: octets of one event, its unfinished line included.
   EventStreamParser(std::size_t most, Handler handler) : most_(most), handler_(std::move(handler)) {}
 
+  // Comment lines, without their colon; passed over where nobody listens.
+  void onComment(std::function<void(std::string_view)> handler) { comment_ = std::move(handler); }
   // False: an event went beyond the bound; nothing more is taken.
   bool receive(std::string_view octets);
   // An event without the empty line that ends it is dropped, as the standard says.
@@ -27,6 +29,7 @@
   void line();
   std::size_t most_;
   Handler handler_;
+  std::function<void(std::string_view)> comment_;
   std::string line_;
   Event event_;
   bool hasData_ = false;
--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -65,6 +65,7 @@
 }
 
 bool MessageParser::receive(std::string_view in) {
+  untaken_ = 0;
   if (state_ == State::failed) return false;
   while (!in.empty() && !stopped_) {
     switch (state_) {
@@ -116,6 +117,7 @@
       case State::failed: return false;
     }
   }
+  untaken_ = in.size();
   return true;
 }
 
--- a/src/http1/message.h
+++ b/src/http1/message.h
@@ -53,6 +53,9 @@
   // The peer closed its side. False where a message was cut short; true ends a body that lasts until then.
   bool close();
   void stop() { stopped_ = true; }
+  // Octets at the end of the last piece that were not taken, as stop() came before them.
+  std::size_t untaken() const { return untaken_; }
+  void resume() { stopped_ = false; }
   // Whether octets of an unfinished message were taken.
   bool midway() const { return state_ != State::start || !line_.empty(); }
   // A response to HEAD has no body (RFC 9112 section 6.3).
@@ -82,6 +85,7 @@
   bool http10_ = false;
   bool noBody_ = false;
   bool stopped_ = false;
+  std::size_t untaken_ = 0;
   std::string error_;
 };
 
--- a/src/membership/engine_list.cpp
+++ b/src/membership/engine_list.cpp
@@ -89,6 +89,7 @@
     entry.cell = XXH3_64bits(e.cell.data(), e.cell.size());
     entry.state = e.state;
     entry.startedAt = e.startedAt;
+    entry.weight = e.weight;
     list.entries.push_back(entry);
   }
   return list;
--- a/src/membership/engine_list.h
+++ b/src/membership/engine_list.h
@@ -21,6 +21,7 @@
   std::string zone;
   std::string cell;
   ServerState state = ServerState::running;
+  double weight = 1;      // size beside other engines; lists that tell none leave 1
   Micros startedAt = 0;   // since 1970; 0: long ago
   std::string tokeniser;  // name; empty: the list tells none
   std::string tokeniserVersion;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -78,6 +79,13 @@
   if (open_ && connected_ && !closing_) watchReading(!paused);
 }
 
+bool Stream::quiet() const {
+  if (!open_ || !connected_) return false;
+  char octet = 0;
+  const auto n = ::recv(socket_.impl()->sockfd(), &octet, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void Stream::onError(const Poco::AutoPtr<ErrorNotification>&) {
   if (open_ && !connected_) over(CloseCause::refused);
 }
@@ -158,6 +166,7 @@
       outAt_ += static_cast<std::size_t>(n);
     }
   } catch (const Poco::Exception&) {
+    unsent_ = pending();
     out_.clear();
     outAt_ = 0;
     return failLater(CloseCause::reset);
@@ -188,6 +197,7 @@
 
 void Stream::close(bool abort) {
   if (!std::exchange(open_, false)) return;
+  unsent_ = std::max(unsent_, pending());
   connectAlarm_.stop();
   closeAlarm_.stop();
   watchReading(false);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -49,9 +49,13 @@
   // follows where it was not all.
   std::size_t trySend(std::string_view octets);
   std::size_t pending() const { return out_.size() - outAt_; }
+  // Once closed: octets of send() that the socket never took.
+  std::size_t unsent() const { return unsent_; }
   // Stops reading, so that the peer's socket fills; and goes on.
   void pauseReading(bool paused);
   bool connected() const { return connected_; }
+  // Connected, and the peer has neither sent what was not read yet nor closed: asks the system.
+  bool quiet() const;
   bool open() const { return open_; }
   // Closes at once; nothing is called after. `abort`: with a reset in place of an orderly end.
   void close(bool abort = false);
@@ -77,6 +81,7 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::string out_;
   std::size_t outAt_ = 0;
+  std::size_t unsent_ = 0;
   bool connected_ = false;
   bool open_ = true;
   bool reading_ = false;
--- /dev/null
+++ b/src/platform/discovery/target_list.cpp
@@ -0,0 +1,119 @@
+#include "platform/discovery/target_list.h"
+
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "config/json_depth.h"
+
+namespace garnethook::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kLongestName = 200;
+
+std::string text(const json& entry, const char* key, bool needed) {
+  const auto at = entry.find(key);
+  if (at == entry.end() || at->is_null()) {
+    if (needed) throw std::runtime_error(std::string(key) + ": is missing");
+    return {};
+  }
+  if (!at->is_string()) throw std::runtime_error(std::string(key) + ": a text is wanted");
+  auto out = at->get<std::string>();
+  if (out.size() > kLongestName || (needed && out.empty()))
+    throw std::runtime_error(std::string(key) + ": empty or too long");
+  return out;
+}
+
+double number(const json& entry, const char* key, double fallback, double most) {
+  const auto at = entry.find(key);
+  if (at == entry.end() || at->is_null()) return fallback;
+  const double value = at->is_number() ? at->get<double>() : NAN;
+  if (!(value >= 0 && value <= most))
+    throw std::runtime_error(std::string(key) + ": no number from 0 to " + std::to_string(most));
+  return value;
+}
+
+// A word that is not known yet promises nothing: the engine gets no new work.
+ServerState state(const std::string& word) {
+  if (word == "ready") return ServerState::running;
+  if (word == "gone") return ServerState::gone;
+  return ServerState::draining;
+}
+
+membership::EngineSpec readEntry(const json& entry) {
+  if (!entry.is_object()) throw std::runtime_error("an object is wanted");
+  membership::EngineSpec e;
+  e.name = text(entry, "id", true);
+  e.id = membership::serverId(e.name);
+  e.state = state(text(entry, "phase", true));
+  const bool gone = e.state == ServerState::gone;
+  const std::string address = text(entry, "host_port", !gone);
+  const auto colon = address.rfind(':');
+  int port = 0;
+  const char* end = address.data() + address.size();
+  if (!address.empty() &&
+      (colon == std::string::npos || colon == 0 ||
+       std::from_chars(address.data() + colon + 1, end, port).ptr != end || port < 1 || port > 65'535))
+    throw std::runtime_error("host_port: HOST:PORT is wanted");
+  if (!address.empty()) e.host = address.substr(0, colon);
+  e.port = static_cast<std::uint16_t>(port);
+  e.kind = text(entry, "flavor", false);
+  e.zone = text(entry, "locality", false);
+  if (const auto cell = entry.find("cell"); cell != entry.end() && !cell->is_null())
+    e.cell = cell->is_string() ? text(entry, "cell", false)
+                               : std::to_string(static_cast<std::int64_t>(number(entry, "cell", 0, 1e15)));
+  e.weight = number(entry, "size", 1, 1e9);
+  e.startedAt = static_cast<Micros>(number(entry, "up_since_ms", 0, 1e15)) * 1000;
+  return e;
+}
+
+}  // namespace
+
+TargetUpdate parseTargets(std::string_view input) {
+  if (config::jsonDepth(input) > config::kDeepest) throw std::runtime_error("nested too deep");
+  const json root = json::parse(input, nullptr, false);
+  if (!root.is_object()) throw std::runtime_error("no JSON object");
+  TargetUpdate out;
+  const auto version = root.find("revision");
+  if (version == root.end() || !version->is_number_integer())
+    throw std::runtime_error("revision: is missing");
+  out.version = version->get<std::int64_t>();
+  const auto complete = root.find("complete");
+  out.complete = complete != root.end() && complete->is_boolean() && complete->get<bool>();
+  const auto members = root.find("members");
+  if (members == root.end() || !members->is_array()) throw std::runtime_error("members: is missing");
+  for (const json& entry : *members) {
+    try {
+      out.engines.push_back(readEntry(entry));
+    } catch (const std::runtime_error& e) { out.troubles.emplace_back(e.what()); }
+  }
+  return out;
+}
+
+TargetList::Change TargetList::apply(const TargetUpdate& update) {
+  Change change;
+  if (!update.complete && update.version < version_) return change;
+  change.kind = update.complete ? ServerList::Kind::complete : ServerList::Kind::changes;
+  change.any = true;
+  if (update.complete) engines_.clear();
+  for (const auto& e : update.engines) {
+    if (e.state == ServerState::gone)
+      engines_.erase(e.name);
+    else
+      engines_[e.name] = e;
+    if (!update.complete) change.entries[e.name] = e;
+  }
+  if (update.complete) change.entries = engines_;
+  version_ = update.version;
+  return change;
+}
+
+void TargetList::recall(const membership::EngineMap& engines, std::int64_t version) {
+  engines_ = engines;
+  version_ = version;
+}
+
+}  // namespace garnethook::platform
--- /dev/null
+++ b/src/platform/discovery/target_list.h
@@ -0,0 +1,43 @@
+// Discovery's lists: one JSON object each, the whole list or what changed in it. Free of I/O and clocks.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "membership/engine_list.h"
+
+namespace garnethook::platform {
+
+struct TargetUpdate {
+  std::int64_t version = 0;
+  bool complete = false;
+  std::vector<membership::EngineSpec> engines;
+  std::vector<std::string> troubles;  // entries that can't be used; they are left out
+};
+
+// Throws std::runtime_error, saying what is wrong, where the text is no list at all.
+TargetUpdate parseTargets(std::string_view text);
+
+class TargetList {
+ public:
+  // What the decision module is told of it: the changed entries, or all. An engine that a complete list lacks
+  // is gone. Of changes that are older than the list nothing is taken; a complete list always holds.
+  struct Change {
+    bool any = false;
+    ServerList::Kind kind = ServerList::Kind::changes;
+    membership::EngineMap entries;  // engines that are gone among them
+  };
+  Change apply(const TargetUpdate& update);
+  void recall(const membership::EngineMap& engines, std::int64_t version);
+
+  const membership::EngineMap& engines() const { return engines_; }  // none that is gone
+  std::int64_t version() const { return version_; }
+
+ private:
+  membership::EngineMap engines_;
+  std::int64_t version_ = 0;
+};
+
+}  // namespace garnethook::platform
--- /dev/null
+++ b/src/platform/engine/protocol.cpp
@@ -0,0 +1,89 @@
+#include "platform/engine/protocol.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "provision/facts.h"
+
+namespace garnethook::platform {
+namespace {
+
+std::string_view trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+std::string& host(std::string& out, const membership::EngineSpec& engine) {
+  return out.append(" HTTP/1.1\r\nHost: ")
+      .append(engine.host)
+      .append(":")
+      .append(std::to_string(engine.port))
+      .append("\r\n");
+}
+
+}  // namespace
+
+std::string requestText(const membership::EngineSpec& engine, const routing::Order& order) {
+  const auto& ask = *order.ask;
+  const std::string_view body = ask.body ? std::string_view(*ask.body) : std::string_view();
+  std::string out;
+  out.reserve(body.size() + ask.target.size() + 256);
+  out.append("POST ").append(ask.target);
+  host(out, engine).append("X-Trace-Id: ").append(order.workId);
+  out.append("\r\nX-Expires-In-Ms: ").append(std::to_string(std::max<Micros>(1, order.timeout / 1000)));
+  out.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(std::to_string(body.size()));
+  return out.append("\r\n\r\n").append(body);
+}
+
+std::string callText(const membership::EngineSpec& engine, std::string_view method, std::string_view target) {
+  std::string out(method);
+  out.append(" ").append(target);
+  host(out, engine);
+  if (method != "GET") out.append("Content-Length: 0\r\n");
+  return out.append("\r\n");
+}
+
+std::string releaseTarget(std::string_view workId) { return "/v1/holds/" + std::string(workId); }
+
+std::optional<LoadReport> parseReport(std::string_view text, const provision::ReportMeanings& meanings) {
+  text = trim(text);
+  if (!text.starts_with("TEXT ")) return std::nullopt;
+  text.remove_prefix(5);
+  LoadReport report;
+  for (auto part : provision::split(text, ',')) {
+    part = trim(part);
+    const auto equals = part.find('=');
+    if (equals == std::string_view::npos) return std::nullopt;
+    const auto digits = trim(part.substr(equals + 1));
+    double value = 0;
+    const auto [end, bad] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    if (bad != std::errc() || end != digits.data() + digits.size() || !std::isfinite(value) || value < 0)
+      return std::nullopt;
+    provision::addReportValue(report, meanings, trim(part.substr(0, equals)), value);
+  }
+  if (!report.memoryShare && !report.queuedKiloTokens && !report.queuedRequests) return std::nullopt;
+  return report;
+}
+
+Verdict judge(const http1::Head& head, routing::Job job) {
+  if (head.status == 202 && job == routing::Job::read) return Verdict::readDone;
+  if (head.status == 200 && job != routing::Job::read) return Verdict::stream;
+  const auto never = http1::find(head.fields, "x-never-ran");
+  if (never && trim(*never) == "1") return head.status == 410 ? Verdict::noState : Verdict::turnedAway;
+  return Verdict::failed;
+}
+
+double cachedTokens(std::string_view json) {
+  constexpr std::string_view kName = "\"cached_tokens\"";
+  auto at = json.find(kName);
+  if (at == std::string_view::npos) return 0;
+  at = json.find_first_not_of(" \t:", at + kName.size());
+  if (at == std::string_view::npos) return 0;
+  double value = 0;
+  const auto [end, bad] = std::from_chars(json.data() + at, json.data() + json.size(), value);
+  return bad == std::errc() && std::isfinite(value) && value >= 0 ? value : 0;
+}
+
+}  // namespace garnethook::platform
--- /dev/null
+++ b/src/platform/engine/protocol.h
@@ -0,0 +1,39 @@
+// The platform's protocol towards engines: what is written, and what an answer says of an attempt. Free of
+// I/O.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "http1/message.h"
+#include "membership/engine_list.h"
+#include "provision/provision.h"
+#include "routing/types.h"
+
+namespace garnethook::platform {
+
+// The client's request as it came, with its id and the time that the router waits.
+std::string requestText(const membership::EngineSpec& engine, const routing::Order& order);
+// A call without body.
+std::string callText(const membership::EngineSpec& engine, std::string_view method, std::string_view target);
+std::string releaseTarget(std::string_view workId);
+
+// A load report: `TEXT name=value, ...`. Nothing where it can't be read whole, or tells nothing that is
+// known.
+std::optional<LoadReport> parseReport(std::string_view text, const provision::ReportMeanings& meanings);
+
+// What the head of an answer makes of the attempt.
+enum class Verdict {
+  readDone,    // a reader has read; the body tells what it found kept
+  stream,      // events follow
+  turnedAway,  // it never ran
+  noState,     // it never ran: there was nothing to fetch
+  failed       // it may have run
+};
+Verdict judge(const http1::Head& head, routing::Job job);
+
+// Tokens found kept, from a read's answer or an event's usage; 0 where none are told.
+double cachedTokens(std::string_view json);
+
+}  // namespace garnethook::platform
--- /dev/null
+++ b/src/platform/front/connection_policy.h
@@ -0,0 +1,45 @@
+// How long a client's connection may go without an open request, and which one goes when there are too many.
+// Free of I/O and clocks.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+#include "brain.h"
+
+namespace garnethook::platform {
+
+class ConnectionPolicy {
+ public:
+  struct Options {
+    std::size_t connections = 512;     // at once
+    Micros requestWithin = 2'500'000;  // from its connection, or its first octet, to a request's last
+    Micros idleMost = 20'000'000;      // after an answer, where there is room
+    Micros idleLeast = 2'100'000;      // and where there is none; clients count on two seconds
+    Micros silentLeast = 100'000;      // a new connection may be closed for another's sake after it
+  };
+  enum class Standing { fresh, idle, busy };  // no request yet; between requests; in one
+
+  explicit ConnectionPolicy(const Options& options) : options_(options) {}
+  const Options& options() const { return options_; }
+
+  // Full length while half of the room is free, least from three quarters taken on, in a line between.
+  Micros idleLimit(std::size_t open) const {
+    const double taken =
+        static_cast<double>(open) / static_cast<double>(std::max<std::size_t>(1, options_.connections));
+    const double scarce = std::clamp((taken - 0.5) / 0.25, 0.0, 1.0);
+    return options_.idleMost -
+           static_cast<Micros>(scarce * static_cast<double>(options_.idleMost - options_.idleLeast));
+  }
+  bool full(std::size_t open) const { return open >= options_.connections; }
+  // Whether a connection that has stood so since then may go for another one that comes.
+  bool mayEvict(Standing standing, Micros stood) const {
+    if (standing == Standing::fresh) return stood >= options_.silentLeast;
+    return standing == Standing::idle && stood >= options_.idleLeast;
+  }
+
+ private:
+  Options options_;
+};
+
+}  // namespace garnethook::platform
--- /dev/null
+++ b/src/platform/front/http_front.h
@@ -0,0 +1,74 @@
+// Clients over HTTP/1.1: one request at a time on a connection, answers as streams of events.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "net/stream.h"
+#include "platform/front/connection_policy.h"
+#include "platform/front/intake.h"
+#include "routing/router.h"
+
+namespace garnethook::platform {
+
+class HttpFront {
+ public:
+  struct Options {
+    ConnectionPolicy::Options connections;
+    std::size_t bodiesBytes = 64u << 20;   // of all open requests together
+    std::size_t aheadBytes = 64 * 1024;    // read of the next request while one is open
+    std::size_t unreadBytes = 512 * 1024;  // of an answer that its client does not read
+    Micros lingerWithin = 100'000;         // for a client to read an error before the connection goes
+    std::size_t lingerBytes = 1u << 20;    // and so much of what it still sends is thrown away
+    Micros retryAfter = 250'000;           // told where this front itself is full
+  };
+  struct Counters {
+    std::uint64_t accepted = 0;
+    std::uint64_t turnedAway = 0;  // requests that could not be read, or asked for nothing there is
+    std::uint64_t timedOut = 0;    // connections without a whole request in time
+    std::uint64_t evicted = 0;
+    std::uint64_t overfull = 0;  // connections closed as there was no room
+    std::uint64_t idled = 0;     // closed between requests
+  };
+  using Ready = std::function<bool()>;
+
+  HttpFront(net::Loop& loop, const Poco::Net::SocketAddress& address, const Options& options,
+            const provision::Provision& provision, routing::Router& router, Ready ready);
+  ~HttpFront();
+
+  // Answers end their connections from now on; those between requests end.
+  void drain();
+  // Takes no more connections, and those without an open request end.
+  void close();
+
+  Poco::Net::SocketAddress address() const { return listener_.address(); }
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t openRequests() const { return ids_.size(); }
+  const Counters& counters() const { return counters_; }
+
+ private:
+  class Connection;
+  void accept(Poco::Net::StreamSocket socket);
+  bool evictOne();
+  void closed(Connection& connection);
+  void endIdle(bool silent);
+
+  net::Loop& loop_;
+  Options options_;
+  ConnectionPolicy policy_;
+  const provision::Provision& provision_;
+  routing::Router& router_;
+  Ready ready_;
+  std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::unordered_set<std::string> ids_;  // of open requests
+  std::size_t bodies_ = 0;
+  bool draining_ = false;
+  Counters counters_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  net::Listener listener_;
+};
+
+}  // namespace garnethook::platform
--- /dev/null
+++ b/src/platform/front/intake.cpp
@@ -0,0 +1,130 @@
+#include "platform/front/intake.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "config/json_depth.h"
+#include "provision/facts.h"
+
+namespace garnethook::platform {
+namespace {
+
+constexpr std::size_t kLongestId = 64;
+constexpr std::size_t kLongestKey = 256;
+// The platform's count, where a request tells none.
+constexpr double kCharactersPerToken = 4;
+
+// A field that may stand once. What stands twice could be read in two ways, by the engine in the other one.
+struct Lone {
+  std::optional<std::string_view> value;
+  bool twice = false;
+};
+Lone lone(const http1::Fields& fields, std::string_view name) {
+  Lone out;
+  for (const auto& f : fields) {
+    if (f.name != name) continue;
+    out.twice = out.value.has_value();
+    if (out.twice) break;
+    out.value = f.value;
+  }
+  return out;
+}
+
+bool isId(std::string_view text) {
+  return !text.empty() && text.size() <= kLongestId && std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_';
+  });
+}
+
+std::optional<std::int64_t> wholeNumber(std::string_view text) {
+  std::int64_t value = 0;
+  const auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || bad != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// `name=value, ...`; names that are not known are passed over.
+std::string readProps(std::string_view text, const IntakeLimits& limits, routing::Ask& ask, bool& counted) {
+  for (auto part : provision::split(text, ',')) {
+    while (!part.empty() && part.front() == ' ') part.remove_prefix(1);
+    while (!part.empty() && part.back() == ' ') part.remove_suffix(1);
+    const auto equals = part.find('=');
+    if (equals == std::string_view::npos) return "X-Props: no '=' in a part";
+    const auto name = part.substr(0, equals);
+    const auto value = part.substr(equals + 1);
+    if (name == "prefix") {
+      if (value.size() > kLongestKey) return "X-Props: prefix is too long";
+      ask.shared = value;
+      continue;
+    }
+    if (name != "prompt_len" && name != "prefix_len" && name != "max_out") continue;
+    const auto number = wholeNumber(value);
+    if (!number || *number < 0 || static_cast<double>(*number) > limits.tokens)
+      return "X-Props: " + std::string(name) + " is no length";
+    if (name == "prompt_len") {
+      ask.promptTokens = static_cast<double>(*number);
+      counted = true;
+    } else if (name == "prefix_len") {
+      ask.sharedTokens = static_cast<double>(*number);
+    } else {
+      ask.maxOutput = static_cast<std::uint32_t>(*number);
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+std::variant<routing::Ask, Refusal> readRequest(const http1::Head& head, std::string body,
+                                                const provision::Provision& provision,
+                                                const IntakeLimits& limits) {
+  const auto path = std::string_view(head.target).substr(0, head.target.find('?'));
+  if (path != "/v1/chat/completions") return Refusal{404, "no such resource"};
+  if (head.method != "POST") return Refusal{405, "POST is wanted"};
+  const auto id = lone(head.fields, "x-trace-id");
+  const auto kind = lone(head.fields, "x-qos");
+  const auto session = lone(head.fields, "x-object");
+  const auto expires = lone(head.fields, "x-expires-in-ms");
+  const auto props = lone(head.fields, "x-props");
+  for (const auto& field : {id, kind, session, expires, props})
+    if (field.twice) return Refusal{400, "a field of the request stands twice"};
+
+  routing::Ask ask;
+  if (!id.value || !isId(*id.value)) return Refusal{400, "X-Trace-Id: an id is wanted"};
+  ask.workId = *id.value;
+  if (!kind.value) return Refusal{400, "X-Qos: is missing"};
+  const auto index = provision::indexOf(provision.classNames, *kind.value);
+  if (!index) return Refusal{400, "X-Qos: no such class"};
+  ask.requestClass = *index;
+  const auto remaining = expires.value ? wholeNumber(*expires.value) : std::nullopt;
+  if (!remaining || *remaining <= 0 || *remaining > limits.longestDeadline / 1000)
+    return Refusal{400, "X-Expires-In-Ms: whole milliseconds are wanted"};
+  ask.remaining = *remaining * 1000;
+  if (session.value) {
+    if (session.value->size() > kLongestKey) return Refusal{400, "X-Object: too long"};
+    ask.session = *session.value;
+  }
+  bool counted = false;
+  if (props.value)
+    if (auto trouble = readProps(*props.value, limits, ask, counted); !trouble.empty())
+      return Refusal{400, std::move(trouble)};
+  if (body.size() > limits.bodyBytes) return Refusal{413, "the body is too large"};
+  // Engines would turn away, late and at a cost, what is no whole JSON object: a body that was cut short.
+  if (body.empty() || body.front() != '{' || config::jsonDepth(body) > config::kDeepest ||
+      !nlohmann::json::accept(body))
+    return Refusal{400, "the body is no JSON object"};
+  if (!counted) {
+    ask.promptTokens = std::ceil(static_cast<double>(body.size()) / kCharactersPerToken);
+    ask.estimated = true;
+  }
+  ask.sharedTokens = std::min(ask.sharedTokens, ask.promptTokens);
+  ask.target = head.target;
+  ask.body = std::make_shared<const std::string>(std::move(body));
+  return ask;
+}
+
+}  // namespace garnethook::platform
--- /dev/null
+++ b/src/platform/node/node.cpp
@@ -0,0 +1,258 @@
+#include "platform/node/node.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace garnethook::platform {
+namespace {
+
+constexpr Micros kReportEvery = 5'000'000;
+constexpr Micros kDrainLook = 20'000;
+
+std::string_view text(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::served: return "served";
+    case Outcome::readDone: return "read";
+    case Outcome::error: return "error";
+    case Outcome::full: return "full";
+    case Outcome::timedOut: return "timed out";
+    case Outcome::connectFailed: return "no connection";
+    case Outcome::reset: return "reset";
+    case Outcome::cancelled: return "cancelled";
+    case Outcome::notSent: return "ended here";
+  }
+  return "";
+}
+
+// Resident memory in octets, as the system tells it; 0 where it does not.
+std::uint64_t resident() {
+  std::uint64_t pages = 0;
+  if (std::FILE* file = std::fopen("/proc/self/statm", "r")) {
+    unsigned long long all = 0;
+    unsigned long long here = 0;
+    if (std::fscanf(file, "%llu %llu", &all, &here) == 2) pages = here;
+    std::fclose(file);
+  }
+  return pages * 4096;
+}
+
+}  // namespace
+
+routing::Options Node::routingOptions(const PlatformConfig& config, const Budget& budget) {
+  routing::Options out;
+  out.settings = config.provision.settings;
+  out.seed = config.seed;
+  out.instance = config.name;
+  out.openRequests = budget.clients;
+  if (config.provision.openRequests > 0)
+    out.openRequests = std::min(out.openRequests, config.provision.openRequests);
+  out.streams.silence = Times().streamSilence;
+  out.streams.margin = 0;
+  out.streams.deadlineEnds = false;
+  out.held.releaseWithin = std::max<Micros>(1, config.provision.settings.releaseWithin);
+  return out;
+}
+
+engine::Options Node::engineOptions(const PlatformConfig& config, const Budget& budget) {
+  engine::Options out;
+  out.probePath = "/-/load";
+  out.connectTimeout = std::max<Micros>(1, config.provision.settings.connectTimeout);
+  out.controlTimeout = out.connectTimeout;
+  out.idleTimeout = Times::idle(config.provision.connectionIdle);
+  out.connections = budget.attempts;
+  out.allConnections = budget.attempts;
+  out.message = {.headBytes = 16 * 1024, .bodyBytes = 256 * 1024, .chunkLine = 256};
+  return out;
+}
+
+HttpFront::Options Node::frontOptions(const Budget& budget) {
+  HttpFront::Options out;
+  out.connections.connections = budget.clients;
+  out.bodiesBytes = budget.bodies;
+  return out;
+}
+
+Node::Node(net::Loop& loop, PlatformConfig config, log::Log log)
+    : loop_(loop),
+      config_(std::move(config)),
+      log_(std::move(log)),
+      budget_(share(config_.limits)),
+      names_{config_.provision.kindNames, config_.provision.zoneNames},
+      engines_(loop, engineOptions(config_, budget_), config_.provision.report),
+      drainAlarm_(loop),
+      reportAlarm_(loop),
+      startedAt_(loop.now()) {
+  for (const auto& trouble : config_.troubles) log_.warn("engine-list", {{"trouble", trouble}});
+  router_ = std::make_unique<routing::Router>(routingOptions(config_, budget_), loop_, engines_,
+                                              static_cast<routing::Observer&>(*this));
+  engines_.setEvents(*router_);
+  list_.recall(config_.known, config_.knownVersion);
+  tell(ServerList::Kind::remembered, list_.engines());
+  watch_ = std::make_unique<Watch>(loop_, config_.discovery,
+                                   Watch::Events{[this](const TargetUpdate& update) { onUpdate(update); },
+                                                 [this](const std::string& trouble) {
+                                                   log_.info("discovery", {{"trouble", trouble}});
+                                                 },
+                                                 [this] { return list_.version(); }});
+  front_ = std::make_unique<HttpFront>(loop_, Poco::Net::SocketAddress(config_.listen), frontOptions(budget_),
+                                       config_.provision, *router_, [this] { return ready(); });
+  log_.info("listening", {{"name", config_.name},
+                          {"address", address().toString()},
+                          {"discovery", config_.discovery},
+                          {"engines", list_.engines().size()},
+                          {"clients", budget_.clients},
+                          {"attempts", budget_.attempts}});
+  reportAlarm_.start(kReportEvery, [this] { report(); });
+}
+
+Node::~Node() {
+  watch_.reset();
+  front_.reset();
+}
+
+bool Node::ready() const {
+  if (draining_ || list_.engines().empty()) return false;
+  return listHeard_ || loop_.now() - startedAt_ >= times_.listWithin;
+}
+
+void Node::onUpdate(const TargetUpdate& update) {
+  listHeard_ = true;
+  for (const auto& trouble : update.troubles) log_.warn("engine-list", {{"trouble", trouble}});
+  const auto change = list_.apply(update);
+  if (change.any) tell(change.kind, change.entries);
+}
+
+void Node::tell(ServerList::Kind kind, const membership::EngineMap& entries) {
+  std::string changes;
+  for (const auto& [name, e] : entries) {
+    engineNames_[e.id.value] = name;
+    if (kind == ServerList::Kind::changes)
+      changes += (changes.empty() ? "" : " ") + name +
+                 (e.state == ServerState::running    ? "+"
+                  : e.state == ServerState::draining ? "~"
+                                                     : "-");
+  }
+  log_.info("engine-list", {{"version", list_.version()},
+                            {"engines", list_.engines().size()},
+                            {"remembered", kind == ServerList::Kind::remembered},
+                            {"changes", changes}});
+  engines_.update(list_.engines());
+  router_->onList(membership::toServerList(entries, names_, kind));
+}
+
+void Node::reload(const PlatformConfig& config) {
+  log_.info("reloaded", {{"discovery", config.discovery}});
+  config_.discovery = config.discovery;
+  watch_->move(config.discovery);
+}
+
+void Node::drain(std::function<void()> done) {
+  if (std::exchange(draining_, true)) return;
+  drained_ = std::move(done);
+  log_.info("draining", {{"summary", summary()}});
+  front_->drain();
+  drainAlarm_.start(times_.acceptAfterStop, [this] {
+    front_->close();
+    checkDrained();
+  });
+}
+
+void Node::checkDrained() {
+  const bool over = router_->open() == 0 && router_->lives() == 0 && front_->openRequests() == 0 &&
+                    router_->held().held() + router_->held().releasing() == 0 && front_->connections() == 0;
+  if (!over) return drainAlarm_.start(kDrainLook, [this] { checkDrained(); });
+  log_.info("drained", {{"summary", summary()}});
+  drained_();
+}
+
+void Node::report() {
+  log_.info("status", {{"summary", summary()}});
+  reportAlarm_.start(kReportEvery, [this] { report(); });
+}
+
+std::string Node::summary() const {
+  const auto& c = router_->counters();
+  const auto& f = front_->counters();
+  const auto& h = router_->held();
+  std::string out = "taken " + std::to_string(c.taken) + ", served " + std::to_string(c.served) +
+                    ", refused " + std::to_string(c.refused) + ", failed " + std::to_string(c.failed) +
+                    ", left " + std::to_string(c.left) + ", open " + std::to_string(router_->open()) +
+                    ", attempts " + std::to_string(c.attempts) + "; causes";
+  for (const auto& [cause, n] : c.causes) out += " " + std::string(name(cause)) + " " + std::to_string(n);
+  out += "; outcomes";
+  for (const auto& [outcome, n] : c.outcomes)
+    out += " " + std::string(text(outcome)) + " " + std::to_string(n);
+  out += "; held " + std::to_string(h.held()) + ", releasing " + std::to_string(h.releasing()) +
+         ", released " + std::to_string(h.released()) + ", given up " + std::to_string(h.abandoned()) +
+         ", slowest ms " + std::to_string(h.slowest() / 1000);
+  out += "; clients " + std::to_string(front_->connections()) + " of " + std::to_string(f.accepted) +
+         ", turned away " + std::to_string(f.turnedAway) + ", timed out " + std::to_string(f.timedOut) +
+         ", evicted " + std::to_string(f.evicted) + ", overfull " + std::to_string(f.overfull) + ", idled " +
+         std::to_string(f.idled);
+  out += "; engine connections busy " + std::to_string(engines_.pool().busyConnections()) + ", idle " +
+         std::to_string(engines_.pool().idleConnections()) + ", opened " +
+         std::to_string(engines_.pool().opened());
+  return out + "; resident KiB " + std::to_string(resident() / 1024);
+}
+
+std::string Node::nameOf(ServerId id) const {
+  const auto at = engineNames_.find(id.value);
+  return at == engineNames_.end() ? std::to_string(id.value) : at->second;
+}
+
+void Node::onAttempt(const routing::Order& order) {
+  if (!log_.debugs()) return;
+  log_.debug("attempt", {{"request", order.workId},
+                         {"number", order.attempt.number},
+                         {"engine", nameOf(order.server)},
+                         {"job", name(order.job)},
+                         {"timeout_ms", order.timeout / 1000}});
+}
+
+void Node::onAttemptEnded(routing::AttemptId id, ServerId server, const routing::AttemptResult& result) {
+  if (!log_.debugs()) return;
+  log_.debug("attempt-ended", {{"request", id.request.value},
+                               {"number", id.number},
+                               {"engine", nameOf(server)},
+                               {"outcome", text(result.outcome)},
+                               {"found", result.foundTokens},
+                               {"text", result.text}});
+}
+
+void Node::onFinal(RequestId id, const routing::Ask& ask, const routing::Ending& ending, Micros took) {
+  if (!log_.debugs()) return;
+  log_.debug("final", {{"request", id.value},
+                       {"trace", ask.workId},
+                       {"class", config_.provision.classNames[ask.requestClass]},
+                       {"final", ending.final == routing::Final::served    ? "served"
+                                 : ending.final == routing::Final::refused ? "refused"
+                                                                           : "failed"},
+                       {"cause", name(ending.cause)},
+                       {"text", ending.text},
+                       {"prompt_tokens", ask.promptTokens},
+                       {"octets", ask.body ? ask.body->size() : 0},
+                       {"remaining_ms", ask.remaining / 1000},
+                       {"attempts", ending.usage.attempts},
+                       {"took_ms", took / 1000},
+                       {"retry_after_ms", ending.retryAfter / 1000}});
+}
+
+void Node::onLeft(RequestId id) {
+  if (log_.debugs()) log_.debug("client-left", {{"request", id.value}});
+}
+
+void Node::onModuleLog(const std::string& said) {
+  // The module names servers by number.
+  std::string out;
+  for (std::size_t at = 0; at < said.size();) {
+    const auto end = std::min(said.find(' ', at), said.size());
+    const std::string word = said.substr(at, end - at);
+    const bool number = word.size() > 9 && word.find_first_not_of("0123456789") == std::string::npos;
+    out += (out.empty() ? "" : " ") + (number ? nameOf({std::stoull(word)}) : word);
+    at = end + 1;
+  }
+  log_.info("decision", {{"text", out}});
+}
+
+}  // namespace garnethook::platform
--- a/src/routing/held_states.cpp
+++ b/src/routing/held_states.cpp
@@ -12,6 +12,14 @@
 void HeldStates::nothingLeft(RequestId request, ServerId reader) { held_.erase({request, reader}); }
 void HeldStates::consumed(RequestId request, ServerId reader) { held_.erase({request, reader}); }
 
+bool HeldStates::knows(RequestId request) const {
+  const auto has = [&](const auto& items) {
+    const auto at = items.lower_bound({request, ServerId{0}});
+    return at != items.end() && at->first.first == request;
+  };
+  return has(held_) || has(calls_);
+}
+
 std::vector<HeldStates::Call> HeldStates::release(RequestId request, Micros now) {
   std::vector<Call> out;
   for (auto at = held_.lower_bound({request, ServerId{0}}); at != held_.end() && at->first.first == request;
--- a/src/routing/held_states.h
+++ b/src/routing/held_states.h
@@ -46,6 +46,8 @@
   // Calls that are due again by now.
   std::vector<Call> due(Micros now);
 
+  // Whether anything of the request is held, or being let go of.
+  bool knows(RequestId request) const;
   std::size_t held() const { return held_.size(); }        // not yet asked to let go
   std::size_t releasing() const { return calls_.size(); }  // asked, not yet confirmed
   std::uint64_t released() const { return released_; }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -54,7 +54,8 @@
   life.ask = std::move(ask);
   life.client = &client;
   life.arrived = timers_.now();
-  life.workId = options_.instance + "-" + std::to_string(id.value);
+  life.workId =
+      life.ask.workId.empty() ? options_.instance + "-" + std::to_string(id.value) : life.ask.workId;
   ++open_;
   const Micros usable = guard_.usable(life.ask.remaining);
   life.usableUntil = life.arrived + usable;
@@ -126,7 +127,12 @@
     else
       running_.erase(e.id.value);
     Micros& started = starts_[e.id.value];
-    if (started != 0 && e.startedAt != 0 && started != e.startedAt) held_.readerLost(e.id);
+    if (started != 0 && e.startedAt != 0 && started != e.startedAt) {
+      held_.readerLost(e.id);
+      std::erase_if(works_, [this](const auto& item) {
+        return find({item.first}) == nullptr && !held_.knows({item.first});
+      });
+    }
     if (e.startedAt != 0) started = e.startedAt;
   }
   give(list);
@@ -214,10 +220,17 @@
       endAttempt(attempt.request, *late, Outcome::timedOut, false);
     });
   life->out = out;
-  if (job == Job::read) held_.readSent(a.id, a.server);
-  const Order order{
-      {a.id, out.number}, a.server,     job,
-      &life->ask,         life->workId, job == Job::write ? life->handover : std::string_view()};
+  if (job == Job::read) {
+    held_.readSent(a.id, a.server);
+    works_.try_emplace(a.id.value, life->workId);
+  }
+  const Order order{{a.id, out.number},
+                    a.server,
+                    job,
+                    &life->ask,
+                    life->workId,
+                    job == Job::write ? life->handover : std::string_view(),
+                    a.timeout > 0 ? a.timeout : life->usableUntil - out.sentAt};
   observer_.onAttempt(order);
   engines_.begin(order);
 }
@@ -437,18 +450,28 @@
       endAttempt(id, *life, life->out->started ? kNoJudgement : Outcome::cancelled, true);
       life = find(id);  // endAttempt pumps, and may have settled it
     }
-    if (life != nullptr && !life->out) lives_.erase(id.value);
+    if (life == nullptr || life->out) continue;
+    lives_.erase(id.value);
+    forgetWork(id);
   }
   done_.clear();
 }
 
+// The name that engines know a request by is kept as long as it may still be said to one.
+void Router::forgetWork(RequestId id) {
+  if (find(id) == nullptr && !held_.knows(id)) works_.erase(id.value);
+}
+
 void Router::callReleases(const std::vector<HeldStates::Call>& calls) {
-  for (const auto& call : calls)
-    engines_.release(call.server, call.request, options_.instance + "-" + std::to_string(call.request.value));
+  for (const auto& call : calls) {
+    const auto work = works_.find(call.request.value);
+    if (work != works_.end()) engines_.release(call.server, call.request, work->second);
+  }
 }
 
 void Router::onReleaseEnded(ServerId server, RequestId request, bool ok) {
   held_.ended({server, request}, ok, timers_.now());
+  forgetWork(request);
   if (!ok && !releaseAlarm_.running()) releaseAlarm_.start(options_.held.pause, [this] { lookAtReleases(); });
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -141,6 +141,7 @@
   void breakStream(RequestId id, Life& life, Cause cause, Outcome outcome, const std::string& text);
   void guardStream(RequestId id);
   void settle();
+  void forgetWork(RequestId id);
   void callReleases(const std::vector<HeldStates::Call>& calls);
   void lookAtReleases();
   Life* find(RequestId id);
@@ -153,6 +154,7 @@
   StreamGuard guard_;
   HeldStates held_;
   std::unordered_map<std::uint64_t, Life> lives_;
+  std::unordered_map<std::uint64_t, std::string> works_;  // work ids of requests that were read somewhere
   std::unordered_map<std::uint64_t, Role> roles_;
   std::unordered_map<std::uint64_t, Micros> starts_;  // last known start time of each engine
   std::unordered_set<std::uint64_t> running_;         // engines that the list calls running
--- a/src/routing/stream_guard.h
+++ b/src/routing/stream_guard.h
@@ -16,6 +16,7 @@
   struct Options {
     Micros silence = 10'000'000;  // longest time between two tokens
     Micros margin = 50'000;       // a final answer is sent this long before the client's deadline
+    bool deadlineEnds = true;     // false: an answer that has begun is no longer bound by the deadline
   };
   enum class Verdict { go, stalled, deadline };
   struct Look {
@@ -36,9 +37,10 @@
 
   // `usableUntil`: as from usable(); `lastToken`: time of the latest token.
   Look look(Micros now, Micros lastToken, Micros usableUntil) const {
-    if (now >= usableUntil) return {Verdict::deadline, 0};
-    if (now >= lastToken + options_.silence) return {Verdict::stalled, 0};
-    return {Verdict::go, std::min(usableUntil, lastToken + options_.silence)};
+    if (options_.deadlineEnds && now >= usableUntil) return {Verdict::deadline, 0};
+    const Micros quiet = lastToken + options_.silence;
+    if (now >= quiet) return {Verdict::stalled, 0};
+    return {Verdict::go, options_.deadlineEnds ? std::min(usableUntil, quiet) : quiet};
   }
 
  private:
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -32,6 +32,10 @@
   std::optional<double> temperature;
   std::optional<std::uint64_t> seed;
   std::string model;
+  // Where engines get the client's own request as it came, in place of one made for them:
+  std::string workId;  // empty: the router makes one
+  std::string target;  // path and query
+  std::shared_ptr<const std::string> body;
 };
 
 // A piece of an answer. The views hold for the call that they come with.
@@ -106,6 +110,7 @@
   const Ask* ask = nullptr;
   std::string_view workId;    // the same for all attempts of the request, unique among all routers
   std::string_view handover;  // write: what the read returned for the fetch, as JSON text
+  Micros timeout = 0;         // the router waits so long for the first sign
 };
 
 struct AttemptResult {
