--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -246,6 +246,11 @@
     loop_.reactor().removeEventHandler(socket_, observer);
 }
 
+void Listener::rest(Micros span) {
+  pause(true);
+  retry_.start(span, [this] { pause(false); });
+}
+
 void Listener::close() {
   if (!open_) return;
   pause(true);
@@ -255,16 +260,14 @@
 }
 
 void Listener::onReadable(const Poco::AutoPtr<ReadableNotification>&) {
-  for (int i = 0; i < 64 && open_; ++i) {
+  for (int i = 0; i < 64 && open_ && watching_; ++i) {
     try {
       if (!socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return;
       accept_(socket_.acceptConnection());
     } catch (const Poco::Exception&) {
       // Out of descriptors, or the peer is gone already: leave the queue alone for a while, so that the loop
       // does not spin on a listener that stays readable.
-      pause(true);
-      retry_.start(50'000, [this] { pause(false); });
-      return;
+      return rest(50'000);
     }
   }
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -103,6 +103,8 @@
   void close();
   // Leaves new connections in the system's queue, and takes them again.
   void pause(bool paused);
+  // The same, for so long.
+  void rest(Micros span);
 
  private:
   void onReadable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
--- a/src/platform/front/connection_policy.h
+++ b/src/platform/front/connection_policy.h
@@ -16,18 +16,21 @@
     Micros requestWithin = 2'500'000;  // from its connection, or its first octet, to a request's last
     Micros idleMost = 20'000'000;      // after an answer, where there is room
     Micros idleLeast = 2'100'000;      // and where there is none; clients count on two seconds
-    Micros silentLeast = 100'000;      // a new connection may be closed for another's sake after it
+    // A new connection may be closed for another's sake after it: a client that means to ask does so at once.
+    Micros silentLeast = 20'000;
+    Micros retryPause = 10'000;  // where none may be closed, new ones wait in the system's queue so long
   };
   enum class Standing { fresh, idle, busy };  // no request yet; between requests; in one
 
   explicit ConnectionPolicy(const Options& options) : options_(options) {}
   const Options& options() const { return options_; }
 
-  // Full length while half of the room is free, least from three quarters taken on, in a line between.
+  // Full length while three quarters of the room are free, least from a little over half taken on, in a line
+  // between.
   Micros idleLimit(std::size_t open) const {
     const double taken =
         static_cast<double>(open) / static_cast<double>(std::max<std::size_t>(1, options_.connections));
-    const double scarce = std::clamp((taken - 0.5) / 0.25, 0.0, 1.0);
+    const double scarce = std::clamp((taken - 0.25) / 0.3, 0.0, 1.0);
     return options_.idleMost -
            static_cast<Micros>(scarce * static_cast<double>(options_.idleMost - options_.idleLeast));
   }
--- a/src/platform/front/http_front.cpp
+++ b/src/platform/front/http_front.cpp
@@ -286,6 +286,7 @@
       provision_(provision),
       router_(router),
       ready_(std::move(ready)),
+      roomAlarm_(loop),
       listener_(loop, address, [this](Poco::Net::StreamSocket socket) { accept(std::move(socket)); }) {}
 
 HttpFront::~HttpFront() {
@@ -295,11 +296,6 @@
 
 void HttpFront::accept(Poco::Net::StreamSocket socket) {
   ++counters_.accepted;
-  if (policy_.full(connections_.size()) && !evictOne()) {
-    ++counters_.overfull;
-    socket.close();
-    return;
-  }
   try {
     auto own = std::make_unique<Connection>(*this, std::move(socket));
     Connection* key = own.get();
@@ -307,6 +303,15 @@
     if (draining_) key->drain(false);
   } catch (const Poco::Exception&) {  // the client is gone already
   }
+  makeRoom();
+}
+
+// Room for the next connection is made ahead. Where none may go yet, whoever comes waits in the system's queue.
+void HttpFront::makeRoom() {
+  if (!policy_.full(connections_.size()) || evictOne()) return;
+  ++counters_.overfull;
+  listener_.rest(policy_.options().retryPause);
+  roomAlarm_.start(policy_.options().retryPause, [this] { makeRoom(); });
 }
 
 // The connection that has stood longest without a request goes, silent ones before those that have been used.
--- a/src/platform/front/http_front.h
+++ b/src/platform/front/http_front.h
@@ -52,6 +52,7 @@
  private:
   class Connection;
   void accept(Poco::Net::StreamSocket socket);
+  void makeRoom();
   bool evictOne();
   void closed(Connection& connection);
   void endIdle(bool silent);
@@ -68,6 +69,7 @@
   bool draining_ = false;
   Counters counters_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  timing::Alarm roomAlarm_;
   net::Listener listener_;
 };
 
