--- a/src/platform/node/node.cpp
+++ b/src/platform/node/node.cpp
@@ -234,6 +234,7 @@
                        {"octets", ask.body ? ask.body->size() : 0},
                        {"remaining_ms", ask.remaining / 1000},
                        {"attempts", ending.usage.attempts},
+                       {"events", ending.usage.outputTokens},
                        {"took_ms", took / 1000},
                        {"retry_after_ms", ending.retryAfter / 1000}});
 }
