Lost connections and departed clients no longer count against engines

Checked: the log of attempts shows refusals without any attempt, after reads and writes that stood open to their deadline on one silent connection while the same engine answered others, and after attempts that clients had left. Ruled out: sick engines (no suspects in the log), descriptors, processor time. Cause: brain.cpp judge() took any cancelled attempt for the engine's slowness (speed, queue, fleet's first token), longestWait() and backlog() took a lost attempt for a queue, and watch() kept such an attempt to its deadline because the engine had given a sign since. Change: an attempt that two later ones of no smaller size overtook is lost: it counts for no queue and is given up at its usual limit; a client's early departure tells nothing.

--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -66,6 +66,7 @@
 constexpr double kFirstLife = 2;  // aims: how long a writer's latest first tokens count
 // A server from which nothing came since an attempt was sent is quiet after this much of its time-out.
 constexpr double kQuietShare = 0.4;
+constexpr int kOvertaken = 2;  // attempts that passed one by before it counts as lost
 // Suspicion: points that make a suspect, their life, what each symptom counts, and the wait for a trial.
 constexpr double kSuspect = 1;
 constexpr double kStrikeLife = 5e6;
@@ -243,9 +244,7 @@
     if (s.waits.empty() || asDouble(now_ - s.heardAt) <= kQuietShare * kPatienceFloor * aim_) return false;
     return std::any_of(s.waits.begin(), s.waits.end(), [&](const auto& wait) {
       const Flight& f = wait.second;
-      const double patience = f.stage == Stage::read ? kReadPatience : kWritePatience;
-      const double limit = kQuietShare * (patience * f.predicted + kPatienceFloor * aim_);
-      return s.heardAt <= f.sentAt && asDouble(now_ - f.sentAt) > limit;
+      return s.heardAt <= f.sentAt && asDouble(now_ - f.sentAt) > kQuietShare * usualLimit(f);
     });
   }
 
@@ -410,6 +409,7 @@
     double sum = 0;
     Micros first = now_;
     for (const auto& [id, f] : s.waits) {
+      if (lost(f, kQuietShare)) continue;
       sum += f.work;
       if (f.work > 0) first = std::min(first, f.sentAt);
     }
@@ -418,10 +418,21 @@
 
   double longestWait(const Server& s) const {
     double longest = 0;
-    for (const auto& [id, f] : s.waits) longest = std::max(longest, asDouble(now_ - f.sentAt));
+    for (const auto& [id, f] : s.waits)
+      if (!lost(f, kQuietShare)) longest = std::max(longest, asDouble(now_ - f.sentAt));
     return longest;
   }
 
+  // An attempt over that share of its time while others, sent to the same server later and no smaller, had
+  // their sign: what is sick is its connection, not the server. Guards against single silent connections,
+  // which tell of no queue and no speed, and are given up on at the whole time.
+  bool lost(const Flight& f, double share) const {
+    return f.overtaken >= kOvertaken && asDouble(now_ - f.sentAt) > share * usualLimit(f);
+  }
+  double usualLimit(const Flight& f) const {
+    return (f.stage == Stage::read ? kReadPatience : kWritePatience) * f.predicted + kPatienceFloor * aim_;
+  }
+
   // Others' work before a new read, as time: as last seen there (report, or wait beyond own work), fading to
   // the mean seen of late at its role, and that to nothing. Guards against taking servers not met of late for
   // idle, in jams of any cause; harm: an idle one is passed over while all that were met are jammed.
@@ -681,6 +692,7 @@
   void read(Request& r, const Server& s) {
     Flight f{.server = s.info.id, .stage = Stage::read};
     f.promised = cached(r, s);
+    f.size = promptAt(r, s) - f.promised;
     f.work = readWork(r, s);
     f.predicted = readCost(r, s);
     const Server* writer = pickWriter(r, s.info.cell, kEntryRoom);
@@ -705,7 +717,7 @@
     if (!s) return lastLook || !answerableYet(r) ? end(r, true) : look(r, limit / kHoldLooks);
     Flight f{.server = s->info.id, .stage = Stage::write};
     f.predicted = writeTime_ * speed(*s);
-    f.held = tokensHeld(r, *s);
+    f.size = f.held = tokensHeld(r, *s);
     send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
   }
 
@@ -741,6 +753,7 @@
     if (!s || !inScope(r, *s)) return false;
     Flight f{.server = s->info.id, .stage = Stage::whole};
     f.promised = cached(r, *s);
+    f.size = promptAt(r, *s) - f.promised;
     f.work = readWork(r, *s);
     f.predicted = readCost(r, *s) + firstToken(*s);
     f.held = tokensHeld(r, *s);
@@ -787,7 +800,7 @@
     f.startedAt = now_;
     r.stateAt.reset();
     Server& s = servers_[f.server];
-    heard(s, r.ask.id);
+    heard(s, r.ask.id, f);
     const double took = asDouble(now_ - f.sentAt);
     learnSpeed(s, took / std::max(1.0, f.predicted));
     if (f.stage == Stage::whole) learnQueue(s, took - (f.work + writeTime_) * speed(s));
@@ -797,8 +810,9 @@
         (took < writeTime_ ? kWriteFall : kWriteRise) * (std::min(took, kOutlier * writeTime_) - writeTime_);
   }
 
-  void heard(Server& s, RequestId id) {
+  void heard(Server& s, RequestId id, const Flight& f) {
     s.waits.erase(id);
+    s.waits.overtake(f);
     cuts_.clear();
     if (s.trial == id) s.trial.reset();
     s.heardAt = now_;
@@ -840,7 +854,7 @@
     switch (event.outcome) {
       case Outcome::readDone: return readDone(r, s, f, event.foundTokens);
       case Outcome::served:
-        heard(s, r.ask.id);
+        heard(s, r.ask.id, f);
         if (f.started)
           streamTime(s.role) += kStreamWeight * (asDouble(now_ - f.startedAt) - streamTime(s.role));
         if (f.stage == Stage::whole) correct(r, f, event.foundTokens);
@@ -851,8 +865,12 @@
       case Outcome::reset: strike(f.server, kStrikeReset, "reset"); break;
       case Outcome::error: strike(f.server, kStrikeError, "error"); break;
       case Outcome::cancelled:
+        // A client that went away early tells nothing of the server that had its request.
+        if (r.left && asDouble(now_ - f.sentAt) < kReadPatience * f.predicted) return;
+        [[fallthrough]];
       case Outcome::timedOut:
         if (s.heardAt <= f.sentAt) strike(f.server, kStrikeTimeout, "silence");  // else it is slow, not sick
+        if (const Flight* w = s.waits.find(r.ask.id); w && lost(*w, kQuietShare)) break;
         learnSpeed(s, kSpeedMax);
         if (f.stage == Stage::write) learnFleetFirst(asDouble(now_ - f.sentAt));  // at least that long
         if (f.stage != Stage::write) learnQueue(s, asDouble(now_ - f.sentAt) - f.work * speed(s));
@@ -874,7 +892,7 @@
     learnSpeed(s, took / std::max(1.0, f.predicted / speed(s)));
     readTime_ += readTime_ == 0 ? alone : 0.05 * (alone - readTime_);
     s.readDoneAt = now_;
-    heard(s, r.ask.id);
+    heard(s, r.ask.id, f);
     correct(r, f, found);
     r.stateAt = s.info;
   }
@@ -909,11 +927,14 @@
   }
 
   // Patience has run out. A server that gave a sign since is busy, not sick: giving up on it would leave
-  // its work behind as waste and make a jam worse, so only silence ends the attempt.
+  // its work behind as waste and make a jam worse, so only silence ends the attempt, of the server or, where
+  // the sign was for one sent later, of the connection.
   void watch(Request& r) {
     if (!r.out || r.out->started || r.out->patience == 0) return;
     const Micros due = r.out->sentAt + r.out->patience;
-    if (now_ < due || servers_[r.out->server].heardAt > r.out->sentAt)
+    const Server& s = servers_[r.out->server];
+    const Flight* w = s.waits.find(r.ask.id);
+    if (now_ < due || (s.heardAt > r.out->sentAt && !(w && lost(*w, 1))))
       return setTimer(timerFor(r.ask.id, Purpose::watch), std::max(due - now_, r.out->patience / 2));
     out_->push_back(Cancel{r.ask.id, r.out->number});
     r.out->patience = 0;
@@ -922,7 +943,7 @@
   void on(const RequestGone& event) {
     const auto at = requests_.find(event.id);
     if (at == requests_.end()) return;
-    at->second.ended = true;
+    at->second.ended = at->second.left = true;
     forget(at->second);
   }
 
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -28,6 +28,8 @@
   bool started = false;
   Micros startedAt = 0;
   bool trial = false;
+  double size = 0;    // tokens to be read anew, or to be held
+  int overtaken = 0;  // attempts of its stage and at least its size, sent there later, that had their sign
 };
 
 // Attempts by request, in order of ids. They are gone through far more often than they change, so they lie
@@ -45,6 +47,15 @@
     else
       items_.insert(at, {id, flight});
   }
+  const Flight* find(RequestId id) const {
+    const auto at = std::lower_bound(items_.begin(), items_.end(), id,
+                                     [](const Item& item, RequestId wanted) { return item.first < wanted; });
+    return at != items_.end() && at->first == id ? &at->second : nullptr;
+  }
+  void overtake(const Flight& by) {
+    for (auto& [id, f] : items_)
+      if (f.stage == by.stage && f.sentAt < by.sentAt && f.size <= by.size) ++f.overtaken;
+  }
   void erase(RequestId id) {
     const auto at = place(id);
     if (at != items_.end() && at->first == id) items_.erase(at);
@@ -73,6 +84,7 @@
   Micros riskSince = 0;               // ... and when it was first sent there
   double excess = 0;  // time by which it was last found too late to hope for; below 0: in time
   bool ended = false;
+  bool left = false;  // ended by its client
 };
 
 struct Server {
--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -37,6 +37,78 @@
   EXPECT_EQ(d.count<Cancel>(2), 0);
 }
 
+// Clients that go away before a server could have answered: it is neither slow nor sick for that, and the
+// next request is not refused on its account.
+TEST(Departure, OfClientsTellsNothingOfTheServers) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  const auto longAsk = [&](std::uint64_t id) {
+    auto ask = d.request(id);
+    ask.promptTokens = 6000;
+    return ask;
+  };
+  for (std::uint64_t id = 1; id < 10; ++id) d.run(longAsk(id), 300 * kMs);
+  for (std::uint64_t id = 10; id < 40; ++id) {
+    d.give(longAsk(id));
+    ASSERT_EQ(d.sentTo(id), 1u);
+    d.pass(20 * kMs);
+    d.give(RequestGone{{id}});
+    ASSERT_EQ(d.count<Cancel>(id), 1);
+    d.end(id, Outcome::cancelled);
+  }
+  d.give(longAsk(40));
+  EXPECT_EQ(d.sentTo(40), 1u);
+  EXPECT_EQ(d.count<Refuse>(40), 0);
+}
+
+// One read gets no answer while reads sent there later do: its connection is lost. It counts for no queue, and
+// is tried elsewhere once its own time is over.
+TEST(LostConnection, IsGivenUpAndTellsNothingOfTheServer) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  for (std::uint64_t id = 2; id < 10; ++id) d.run(d.request(id));
+  d.give(d.request(1));
+  const Micros sentAt = d.now;
+  for (std::uint64_t id = 100; d.count<Cancel>(1) == 0; ++id) {
+    d.run(d.request(id));
+    ASSERT_EQ(d.count<Refuse>(id), 0) << id;
+    ASSERT_LT(d.now, sentAt + 2 * kSec);
+  }
+  d.end(1, Outcome::cancelled);
+  EXPECT_EQ(d.count<Send>(1), 2);
+}
+
+// What takes longer as it is larger is passed by smaller ones all the time: it is not lost.
+TEST(LostConnection, ALargeReadThatSmallOnesPassIsNone) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  for (std::uint64_t id = 2; id < 10; ++id) d.run(d.request(id));
+  auto large = d.request(1);
+  large.promptTokens = 3000;
+  d.give(large);
+  for (std::uint64_t id = 100; id < 112; ++id) d.run(d.request(id));
+  EXPECT_EQ(d.count<Cancel>(1), 0);
+}
+
+// The same with a write: what it waited is no first token's time, so nobody is refused for it.
+TEST(LostConnection, OfAWriteMakesNoJam) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  for (std::uint64_t id = 2; id < 10; ++id) d.run(d.request(id));
+  d.give(d.request(1, kUnsafe));
+  d.pass(50 * kMs);
+  d.end(1, Outcome::readDone);
+  ASSERT_EQ(d.sentTo(1), 11u);
+  for (std::uint64_t id = 100; d.now < 6 * kSec; ++id) {
+    d.run(d.request(id));
+    ASSERT_EQ(d.count<Refuse>(id), 0) << id;
+  }
+  d.pass(kSec);
+  d.end(1, Outcome::cancelled);
+  d.give(d.request(90));
+  EXPECT_EQ(d.count<Refuse>(90), 0);
+}
+
 TEST(Connects, RefusedOnesMakeASuspectAtOnce) {
   Driver d(settings());
   d.list(fleet());
