Kept connections that died and slow refusals no longer mislead the router

Engines without load answered 503 after 210 ms in the median, four of five times, on new and kept connections alike (trace of heads and times), and requests spent all six attempts there. Ruled out: a connection bound at the engines (503 as often on kept ones), processor time, descriptors. Cause: Pool took any kept connection for a good one and brain.cpp judge() any reset for its engine's (strike, and the best reader left out of the next try); a refused connection alone made an engine suspect; nothing counted the time that refusals take. Change: engine/reuse_policy.h learns by age how kept connections fare; requests that can't be sent again go on new ones while kept ones die; what rested longer than one that died is dropped; a kept connection's reset is no symptom; a refused connection is dialled once more where others of that engine stand; refusal() prices a server by the time its refusals cost.

--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -75,6 +75,10 @@
 constexpr double kStrikeError = 0.4;
 constexpr double kStrikeTimeout = 0.6;
 constexpr Micros kTrialWait = kSecond / 2;
+// Being turned away: weight of one attempt, how long it is believed, and the least chance of being let in.
+constexpr double kTurnedWeight = 0.2;
+constexpr double kTurnedLife = 4e6;
+constexpr double kTurnedLeast = 0.1;
 constexpr Micros kTrialWaitMax = 4 * kSecond;
 // A zone counts as cut when this share of its servers, and at least two, are suspect.
 constexpr double kCutShare = 0.6;
@@ -541,15 +545,31 @@
     }
   }
 
+  // The time that being turned away is likely to take at a server, once and again, before it lets one in.
+  // Guards against servers that turn away slowly without a load that tells: where it is quick it costs nothing.
+  double refusal(const Server& s) const {
+    const double share = s.turnedAway * freshness(s.turnedAt, kTurnedLife);
+    return s.turnedTime * share / std::max(kTurnedLeast, 1 - share);
+  }
+
+  void learnTurned(Server& s, const Flight& f, bool away) {
+    if (!away && s.turnedAway == 0) return;
+    const double share = s.turnedAway * freshness(s.turnedAt, kTurnedLife);
+    s.turnedAway = share + kTurnedWeight * ((away ? 1 : 0) - share);
+    s.turnedAt = now_;
+    const double took = asDouble(now_ - f.sentAt);
+    if (away) s.turnedTime += s.turnedTime == 0 ? took : kTurnedWeight * (took - s.turnedTime);
+  }
+
   const Server* pickReader(const Request& r, Role role) const {
     const auto list = candidates(r, role);
     if (list.empty()) return nullptr;
-    const auto cost = [&](const Server& s) { return readCost(r, s); };
+    const auto cost = [&](const Server& s) { return readCost(r, s) + refusal(s); };
     const bool known = std::any_of(list.begin(), list.end(), [&](auto* s) { return cached(r, *s) > 0; });
     auto homes = list;
     std::erase_if(homes, [&](auto* s) { return !isHome(r, *s); });
     const Server* home = known ? nullptr : least(homes, order_, cost);
-    if (home && readCost(r, *home) <= kHashGuard * asDouble(r.aimAt - now_)) return home;
+    if (home && cost(*home) <= kHashGuard * asDouble(r.aimAt - now_)) return home;
     return least(list, r.ask.sharedBeginning, cost);
   }
 
@@ -602,7 +622,7 @@
   const Server* pickWriter(const Request& r, std::uint64_t cell, double limit) const {
     const auto list = candidates(r, Role::writer);
     const auto mixed = candidates(r, Role::both);
-    const auto score = [&](const Server& s) { return fill(s, tokensHeld(r, s)) * speed(s); };
+    const auto score = [&](const Server& s) { return fill(s, tokensHeld(r, s)) * speed(s) + refusal(s) / aim_; };
     for (const bool near : {true, false})
       for (const auto* group : {&list, &mixed}) {
         auto part = *group;
@@ -811,6 +831,7 @@
   }
 
   void heard(Server& s, RequestId id, const Flight& f) {
+    if (!f.started || f.startedAt == now_) learnTurned(s, f, false);
     s.waits.erase(id);
     s.waits.overtake(f);
     cuts_.clear();
@@ -859,10 +880,14 @@
           streamTime(s.role) += kStreamWeight * (asDouble(now_ - f.startedAt) - streamTime(s.role));
         if (f.stage == Stage::whole) correct(r, f, event.foundTokens);
         return;
-      case Outcome::full: return full(r, s, event.stateMissing);
+      case Outcome::full: return full(r, s, f, event.stateMissing);
       case Outcome::notSent: return;
       case Outcome::connectFailed: strike(f.server, kStrikeConnect, "no connection"); break;
-      case Outcome::reset: strike(f.server, kStrikeReset, "reset"); break;
+      case Outcome::reset:
+        if (event.keptConnection && f.stage == Stage::read)
+          return;  // once more, at the same server if it is best
+        if (!event.keptConnection) strike(f.server, kStrikeReset, "reset");
+        break;
       case Outcome::error: strike(f.server, kStrikeError, "error"); break;
       case Outcome::cancelled:
         // A client that went away early tells nothing of the server that had its request.
@@ -899,7 +924,7 @@
 
   // Full is an answer: the server lives. Without a state it is the state that failed, by its reader's
   // death, a cut or a release, so the writer is not blamed and the prompt is read anew elsewhere.
-  void full(Request& r, Server& s, bool stateMissing) {
+  void full(Request& r, Server& s, const Flight& f, bool stateMissing) {
     s.heardAt = now_;
     cuts_.clear();
     if (stateMissing && r.stateAt) {
@@ -907,6 +932,7 @@
       r.stateAt.reset();
       return;
     }
+    learnTurned(s, f, true);
     s.fullUntil = now_ + asMicros(writeTime_);
     r.failed.push_back(s.info.id);
   }
--- a/src/decision/brain.h
+++ b/src/decision/brain.h
@@ -139,9 +139,10 @@
   int attempt = 0;
   ServerId server;
   Outcome outcome = Outcome::served;
-  bool last = false;          // the request has ended, by this or earlier
-  double foundTokens = 0;     // prompt tokens found kept (readDone, served)
-  bool stateMissing = false;  // with full: there was no state to fetch
+  bool last = false;            // the request has ended, by this or earlier
+  double foundTokens = 0;       // prompt tokens found kept (readDone, served)
+  bool stateMissing = false;    // with full: there was no state to fetch
+  bool keptConnection = false;  // with reset: an old connection broke without a sign; the server may be well
   std::optional<LoadReport> report;
 };
 
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -106,6 +106,9 @@
   Micros trialWait = 0;  // 0: the shortest
   Micros heardAt = 0;
   Micros fullUntil = 0;
+  double turnedAway = 0;  // share of attempts there that were turned away of late, as of turnedAt
+  double turnedTime = 0;  // and after what time
+  Micros turnedAt = 0;
   Micros readDoneAt = 0;
   LoadReport report;
   Micros reportAt = 0;
--- a/src/engine/attempt.h
+++ b/src/engine/attempt.h
@@ -21,7 +21,10 @@
   bool onHead(const http1::Head& head) override;
   bool onBody(std::string_view octets) override;
   void onEnd() override;
-  void onFailed(Outcome outcome, const std::string& text) override { finish(outcome, text); }
+  void onFailed(Outcome outcome, const std::string& text, bool kept) override {
+    result_.keptConnection = kept;
+    finish(outcome, text);
+  }
   void mute() override { told_ = true; }
 
  private:
@@ -50,7 +53,7 @@
   bool onHead(const http1::Head& head) override;
   bool onBody(std::string_view octets) override;
   void onEnd() override { tell(status_); }
-  void onFailed(Outcome, const std::string&) override { tell(0); }
+  void onFailed(Outcome, const std::string&, bool) override { tell(0); }
   void mute() override { told_ = true; }
 
  private:
@@ -87,7 +90,7 @@
   void onEnd() override {
     if (!std::exchange(told_, true)) done_(status_, body_);
   }
-  void onFailed(Outcome, const std::string&) override {
+  void onFailed(Outcome, const std::string&, bool) override {
     status_ = 0;
     body_.clear();
     onEnd();
--- a/src/engine/connection.cpp
+++ b/src/engine/connection.cpp
@@ -6,20 +6,30 @@
 
 Connection::Connection(net::Loop& loop, const Options& options, const Poco::Net::SocketAddress& to,
                        ServerId server, ConnectionOwner& owner)
-    : options_(options),
+    : loop_(loop),
+      options_(options),
+      to_(to),
       server_(server),
       owner_(owner),
       timer_(loop),
-      parser_(http1::MessageParser::Kind::response, options.message, *this),
-      stream_(loop, to, options.sourceAddress, options.connectTimeout, *this) {}
+      parser_(http1::MessageParser::Kind::response, options.message, *this) {
+  dial();
+}
+
+void Connection::dial() {
+  stream_ = std::make_unique<net::Stream>(loop_, to_, options_.sourceAddress, options_.connectTimeout,
+                                          static_cast<net::StreamEvents&>(*this));
+}
 
-void Connection::run(std::unique_ptr<Exchange> exchange, std::string request, Micros limit) {
+void Connection::run(std::unique_ptr<Exchange> exchange, std::string request, Micros limit, bool redial) {
   exchange_ = std::move(exchange);
   answered_ = false;
+  redial_ = redial;
+  reusedAfter_ = restedAt_ == 0 ? -1 : loop_.now() - restedAt_;
   timer_.stop();
   if (limit > 0) timer_.start(limit, [this] { fail(Outcome::timedOut, "no answer in time"); });
-  if (stream_.connected())
-    stream_.send(request);
+  if (stream_->connected())
+    stream_->send(request);
   else
     request_ = std::move(request);
 }
@@ -31,13 +41,15 @@
 }
 
 void Connection::rest() {
+  restedAt_ = loop_.now();
   timer_.start(options_.idleTimeout, [this] { free(false); });
 }
 
-void Connection::onConnected() { stream_.send(std::exchange(request_, {})); }
+void Connection::onConnected() { stream_->send(std::exchange(request_, {})); }
 
 void Connection::onOctets(std::string_view octets) {
   if (!exchange_) return free(false);  // octets that nobody asked for
+  if (reusedAfter_ >= 0) owner_.onReused(*this, std::exchange(reusedAfter_, -1), false);
   const bool good = parser_.receive(octets);
   if (exchange_ && !good) return fail(Outcome::error, "bad HTTP: " + std::string(parser_.error()));
   if (std::exchange(over_, false)) free(good && keepAlive_ && !parser_.midway());
@@ -45,14 +57,26 @@
 
 void Connection::onClosed(net::CloseCause cause) {
   if (!exchange_) return free(false);
-  if (!stream_.connected())
+  if (!stream_->connected() && cause == net::CloseCause::refused && std::exchange(redial_, false)) {
+    loop_.post([this, alive = std::weak_ptr<bool>(alive_)] {
+      if (!alive.expired() && exchange_) dial();
+    });
+    return;
+  }
+  if (!stream_->connected())
     return fail(Outcome::connectFailed,
                 cause == net::CloseCause::timedOut ? "no connection in time" : "no connection");
   // What was never written whole was never begun.
-  if (stream_.unsent() > 0 && !answered_)
+  if (stream_->unsent() > 0 && !answered_)
     return fail(Outcome::connectFailed, "the connection broke off before the request was written");
   if (cause == net::CloseCause::peerClosed && parser_.close() && over_) return free(false);
-  fail(Outcome::reset, answered_ ? "the connection broke off in the answer" : "the connection broke off");
+  const bool kept = reusedAfter_ >= 0;
+  if (kept) owner_.onReused(*this, std::exchange(reusedAfter_, -1), true);
+  fail(Outcome::reset,
+       answered_ ? "the connection broke off in the answer"
+       : kept    ? "a kept connection broke off"
+                 : "the connection broke off",
+       kept);
 }
 
 void Connection::onHead(const http1::Head& head) {
@@ -78,15 +102,15 @@
   exchange->onEnd();
 }
 
-void Connection::fail(Outcome outcome, const std::string& text) {
+void Connection::fail(Outcome outcome, const std::string& text, bool kept) {
   const auto exchange = std::move(exchange_);
   free(false);
-  if (exchange) exchange->onFailed(outcome, text);
+  if (exchange) exchange->onFailed(outcome, text, kept);
 }
 
 void Connection::free(bool reusable) {
   timer_.stop();
-  if (!reusable) stream_.close();
+  if (!reusable) stream_->close();
   owner_.onFree(*this, reusable);
 }
 
--- a/src/engine/connection.h
+++ b/src/engine/connection.h
@@ -20,6 +20,8 @@
   // The exchange is over, or an idle connection is; where not `reusable` the connection is closed. It must
   // not be destroyed from within this call.
   virtual void onFree(Connection& connection, bool reusable) = 0;
+  // How a request fared on a connection that had been kept for so long: whether any answer came.
+  virtual void onReused(Connection& connection, Micros rested, bool dead) = 0;
 };
 
 class Connection final : private net::StreamEvents, private http1::MessageEvents {
@@ -27,16 +29,19 @@
   Connection(net::Loop& loop, const Options& options, const Poco::Net::SocketAddress& to, ServerId server,
              ConnectionOwner& owner);
 
-  // `limit`: the exchange fails with timedOut after it; 0: none.
-  void run(std::unique_ptr<Exchange> exchange, std::string request, Micros limit);
+  // `limit`: the exchange fails with timedOut after it; 0: none. `redial`: a refused connection is tried once
+  // more before it is told.
+  void run(std::unique_ptr<Exchange> exchange, std::string request, Micros limit, bool redial = false);
   // Ends the exchange; nothing of it is told any more.
   void abandon();
   // Waits idle, and closes itself after the idle time-out.
   void rest();
-  void pause(bool paused) { stream_.pauseReading(paused); }
+  void pause(bool paused) { stream_->pauseReading(paused); }
   // Octets that wait unasked for would be taken for the next answer.
-  bool usable() const { return !parser_.midway() && stream_.quiet(); }
+  bool usable() const { return !parser_.midway() && stream_->quiet(); }
   ServerId server() const { return server_; }
+  // Since the latest answer; 0 before the first.
+  Micros rested() const { return restedAt_ == 0 ? 0 : loop_.now() - restedAt_; }
 
   // The attempt that it carries, for its owner's books.
   std::optional<routing::AttemptId> attempt;
@@ -48,10 +53,14 @@
   void onHead(const http1::Head& head) override;
   void onBody(std::string_view octets) override;
   void onEnd() override;
-  void fail(Outcome outcome, const std::string& text);
+  void fail(Outcome outcome, const std::string& text, bool kept = false);
   void free(bool reusable);
 
+  void dial();
+
+  net::Loop& loop_;
   const Options& options_;
+  Poco::Net::SocketAddress to_;
   ServerId server_;
   ConnectionOwner& owner_;
   timing::Alarm timer_;
@@ -62,7 +71,11 @@
   bool answered_ = false;
   bool keepAlive_ = false;
   bool over_ = false;  // the exchange said all within this piece of octets
-  net::Stream stream_;
+  bool redial_ = false;
+  Micros restedAt_ = 0;
+  Micros reusedAfter_ = -1;  // how long it had rested before the exchange; negative: told, or a new one
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::unique_ptr<net::Stream> stream_;
 };
 
 }  // namespace garnethook::engine
--- a/src/engine/exchange.h
+++ b/src/engine/exchange.h
@@ -17,8 +17,9 @@
   virtual bool onBody(std::string_view octets) = 0;
   // The answer is whole.
   virtual void onEnd() = 0;
-  // It never will be.
-  virtual void onFailed(Outcome outcome, const std::string& text) = 0;
+  // It never will be. `kept`: the connection had been used before and broke without a sign, which tells of
+  // that connection and not of the engine.
+  virtual void onFailed(Outcome outcome, const std::string& text, bool kept) = 0;
   // Nobody wants to know any more. May come from within one of the calls above.
   virtual void mute() = 0;
 };
--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -70,9 +70,11 @@
   --idle_;
 }
 
-Connection& Pool::connect(Engine& e) {
+Connection& Pool::connect(Engine& e, bool costly) {
   std::unique_ptr<Connection> own;
   while (!own && !e.idle.empty()) {
+    // The one that rested least; where that is too long, no other will do.
+    if (!reuse_.mayReuse(e.idle.back()->rested(), costly, loop_.now())) break;
     own = std::move(e.idle.back());
     e.idle.pop_back();
     --idle_;
@@ -117,21 +119,37 @@
   }
 }
 
+// Where one has died unseen, those that rested longer have most likely done so too.
+void Pool::onReused(Connection& connection, Micros rested, bool dead) {
+  reuse_.note(rested, dead, loop_.now());
+  const auto engine = engines_.find(connection.server().value);
+  if (!dead || engine == engines_.end()) return;
+  auto& idle = engine->second.idle;
+  const auto older =
+      std::partition(idle.begin(), idle.end(), [&](const auto& c) { return c->rested() < rested; });
+  idle_ -= static_cast<std::size_t>(idle.end() - older);
+  for (auto at = older; at != idle.end(); ++at) discard(std::move(*at));
+  idle.erase(older, idle.end());
+}
+
 // A connection is often given up from within its own call, so it ends in the loop's next turn.
 void Pool::discard(std::unique_ptr<Connection> connection) {
   loop_.post([c = std::shared_ptr<Connection>(std::move(connection))] {});
 }
 
 void Pool::run(ServerId server, std::unique_ptr<Exchange> exchange, std::string request, Micros limit) {
-  connect(engines_.at(server.value)).run(std::move(exchange), std::move(request), limit);
+  connect(engines_.at(server.value), false).run(std::move(exchange), std::move(request), limit);
 }
 
 void Pool::run(routing::AttemptId attempt, ServerId server, std::unique_ptr<Exchange> exchange,
-               std::string request) {
-  Connection& c = connect(engines_.at(server.value));
+               std::string request, bool costly) {
+  Engine& e = engines_.at(server.value);
+  // An engine that others of its connections stand with refuses one by chance, and is asked once more.
+  const bool alive = e.busy > 0 || !e.idle.empty();
+  Connection& c = connect(e, costly);
   c.attempt = attempt;
   attempts_[attempt] = &c;
-  c.run(std::move(exchange), std::move(request), 0);
+  c.run(std::move(exchange), std::move(request), 0, alive);
 }
 
 void Pool::abandon(routing::AttemptId attempt) {
--- a/src/engine/pool.h
+++ b/src/engine/pool.h
@@ -10,6 +10,7 @@
 
 #include "engine/connection.h"
 #include "engine/options.h"
+#include "engine/reuse_policy.h"
 #include "membership/engine_list.h"
 #include "routing/types.h"
 
@@ -29,10 +30,11 @@
   // All connections that may be used for attempts are busy.
   bool full(ServerId server) const;
 
-  // On an idle connection or a new one; `limit` as for Connection::run. The engine must be found.
+  // On an idle connection or a new one; `limit` as for Connection::run. The engine must be found. `costly`:
+  // the request can't be sent again once it may have run (reuse_policy.h).
   void run(ServerId server, std::unique_ptr<Exchange> exchange, std::string request, Micros limit);
   void run(routing::AttemptId attempt, ServerId server, std::unique_ptr<Exchange> exchange,
-           std::string request);
+           std::string request, bool costly = false);
   // Ends the attempt's exchange and its connection; nothing of it is told any more.
   void abandon(routing::AttemptId attempt);
   // Reads no more of the attempt's answer, so that the engine's socket fills; and goes on.
@@ -62,7 +64,8 @@
   };
 
   void onFree(Connection& connection, bool reusable) override;
-  Connection& connect(Engine& e);
+  void onReused(Connection& connection, Micros rested, bool dead) override;
+  Connection& connect(Engine& e, bool costly);
   void makeRoom();
   void discard(std::unique_ptr<Connection> connection);
   void closeIdle(Engine& e);
@@ -72,6 +75,7 @@
   std::unordered_map<std::uint64_t, Engine> engines_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> busy_;
   std::unordered_map<routing::AttemptId, Connection*, AttemptHash> attempts_;
+  ReusePolicy reuse_;
   std::size_t idle_ = 0;
   std::uint64_t opened_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/platform/engine/platform_engines.cpp
+++ b/src/platform/engine/platform_engines.cpp
@@ -20,7 +20,7 @@
   }
   pool_.run(order.attempt, order.server,
             std::make_unique<RelayExchange>(*events_, order.attempt, order.job, meanings_),
-            requestText(*spec, order));
+            requestText(*spec, order), order.costly);
 }
 
 void PlatformEngines::release(ServerId server, RequestId request, const std::string& workId) {
--- a/src/platform/engine/relay_exchange.h
+++ b/src/platform/engine/relay_exchange.h
@@ -21,7 +21,10 @@
   bool onHead(const http1::Head& head) override;
   bool onBody(std::string_view octets) override;
   void onEnd() override;
-  void onFailed(Outcome outcome, const std::string& text) override { finish(outcome, text); }
+  void onFailed(Outcome outcome, const std::string& text, bool kept) override {
+    result_.keptConnection = kept;
+    finish(outcome, text);
+  }
   void mute() override { told_ = true; }
 
  private:
--- a/src/platform/front/http_front.cpp
+++ b/src/platform/front/http_front.cpp
@@ -306,7 +306,8 @@
   makeRoom();
 }
 
-// Room for the next connection is made ahead. Where none may go yet, whoever comes waits in the system's queue.
+// Room for the next connection is made ahead. Where none may go yet, whoever comes waits in the system's
+// queue.
 void HttpFront::makeRoom() {
   if (!policy_.full(connections_.size()) || evictOne()) return;
   ++counters_.overfull;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -224,13 +224,15 @@
     held_.readSent(a.id, a.server);
     works_.try_emplace(a.id.value, life->workId);
   }
-  const Order order{{a.id, out.number},
-                    a.server,
-                    job,
-                    &life->ask,
-                    life->workId,
-                    job == Job::write ? life->handover : std::string_view(),
-                    a.timeout > 0 ? a.timeout : life->usableUntil - out.sentAt};
+  const Order order{
+      {a.id, out.number},
+      a.server,
+      job,
+      &life->ask,
+      life->workId,
+      job == Job::write ? life->handover : std::string_view(),
+      job != Job::read && !mayRefuse(options_.settings.classes[life->ask.requestClass], {.mayHaveRun = true}),
+      a.timeout > 0 ? a.timeout : life->usableUntil - out.sentAt};
   observer_.onAttempt(order);
   engines_.begin(order);
 }
@@ -373,6 +375,7 @@
                      .outcome = result.outcome,
                      .foundTokens = result.foundTokens,
                      .stateMissing = result.stateMissing,
+                     .keptConnection = result.keptConnection,
                      .report = result.report};
   if (result.promptTokens > 0) {
     life->usage.promptTokens = result.promptTokens;
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -110,6 +110,7 @@
   const Ask* ask = nullptr;
   std::string_view workId;    // the same for all attempts of the request, unique among all routers
   std::string_view handover;  // write: what the read returned for the fetch, as JSON text
+  bool costly = false;        // can't be sent again once it may have run
   Micros timeout = 0;         // the router waits so long for the first sign
 };
 
@@ -117,7 +118,8 @@
   Outcome outcome = Outcome::error;
   double foundTokens = 0;
   bool stateMissing = false;
-  bool badRequest = false;  // nothing ran, and no engine would take it
+  bool keptConnection = false;  // the connection was an old one and broke without a sign
+  bool badRequest = false;      // nothing ran, and no engine would take it
   std::optional<LoadReport> report{};
   std::string handover{};  // readDone
   FinishReason reason = FinishReason::stop;
