--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -79,6 +79,7 @@
 constexpr double kTurnedWeight = 0.2;
 constexpr double kTurnedLife = 4e6;
 constexpr double kTurnedLeast = 0.1;
+constexpr double kTurnedHome = 0.1;  // aims: a home that costs more than this to get into is one among others
 constexpr Micros kTrialWaitMax = 4 * kSecond;
 // A zone counts as cut when this share of its servers, and at least two, are suspect.
 constexpr double kCutShare = 0.6;
@@ -569,7 +570,8 @@
     auto homes = list;
     std::erase_if(homes, [&](auto* s) { return !isHome(r, *s); });
     const Server* home = known ? nullptr : least(homes, order_, cost);
-    if (home && cost(*home) <= kHashGuard * asDouble(r.aimAt - now_)) return home;
+    const bool letsIn = home && refusal(*home) <= kTurnedHome * aim_;
+    if (letsIn && readCost(r, *home) <= kHashGuard * asDouble(r.aimAt - now_)) return home;
     return least(list, r.ask.sharedBeginning, cost);
   }
 
--- /dev/null
+++ b/tests/path/platform_path_test.cpp
@@ -0,0 +1,307 @@
+// Whole paths on the platform: raw clients, scripted engines and discovery on loopback. Each test causes the
+// trouble that it names.
+#include "platform_world.h"
+
+namespace garnethook::test {
+namespace {
+
+using Request = ScriptedEngine::Request;
+
+struct PlatformPath : testing::Test {
+  PlatformWorld w;
+};
+
+TEST_F(PlatformPath, AReadThenAStreamUnchanged) {
+  auto c = w.client();
+  c->ask("a1");
+  ASSERT_TRUE(w.until([&] { return c->has(kLast); }, 2'000'000)) << c->got;
+  EXPECT_TRUE(c->has("HTTP/1.1 200"));
+  EXPECT_TRUE(c->has(kEvent));
+  EXPECT_TRUE(c->has(kDone));
+  ASSERT_EQ(w.reader.count("POST"), 1u);
+  ASSERT_EQ(w.writer.count("POST"), 1u);
+  EXPECT_EQ(w.writer.seen[0].body, R"({"model":"m"})");
+  EXPECT_EQ(http1::find(w.writer.seen[0].head.fields, "x-trace-id"), "a1");
+  EXPECT_TRUE(http1::find(w.writer.seen[0].head.fields, "x-expires-in-ms"));
+  EXPECT_TRUE(w.clean());
+  c->got.clear();  // the connection serves another one
+  c->ask("a2");
+  EXPECT_TRUE(w.until([&] { return c->has(kLast); }, 2'000'000));
+}
+
+TEST_F(PlatformPath, ReadinessIsTold) {
+  auto c = w.client();
+  c->stream.send("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(w.until([&] { return c->has("HTTP/1.1 200 OK"); }, 1'000'000));
+}
+
+TEST_F(PlatformPath, ASpoiltOpeningIsTriedAgainWhereThatDoesNoHarm) {
+  for (const std::string& spoilt :
+       {std::string("\x01\x02noise\r\n\r\n"), std::string("HTTP/9.9 what\r\n\r\n"),
+        "HTTP/1.1 200 OK\r\nX: " + std::string(40'000, 'h'), std::string(kHead) + "zz\r\n",
+        std::string(kHead) + "c0000000\r\nxxxx"}) {
+    const auto before = w.writer.count("POST");
+    bool first = true;
+    w.writer.script = [&](Request& r) {
+      if (!PlatformWorld::answerCalls(r)) r.stream->send(std::exchange(first, false) ? spoilt : kWhole);
+    };
+    auto c = w.client();
+    c->ask("s" + std::to_string(before));
+    ASSERT_TRUE(w.until([&] { return c->has(kLast); }, 3'000'000)) << spoilt.substr(0, 20) << c->got;
+    EXPECT_EQ(c->count(kEvent), 1u);
+    EXPECT_GE(w.writer.count("POST"), before + 2);
+    EXPECT_TRUE(w.clean());
+  }
+}
+
+TEST_F(PlatformPath, AnUnsafeRequestThatMayHaveRunIsNeitherRepeatedNorRefused) {
+  w.writer.script = [&](Request& r) {
+    if (!PlatformWorld::answerCalls(r)) r.stream->send("noise\r\n\r\n");
+  };
+  auto c = w.client();
+  c->ask("u1", "order");
+  ASSERT_TRUE(w.until([&] { return c->has("\r\n\r\n"); }, 3'000'000));
+  EXPECT_TRUE(c->has("HTTP/1.1 502")) << c->got;
+  EXPECT_EQ(w.writer.count("POST"), 1u);
+  EXPECT_TRUE(w.clean());
+}
+
+TEST_F(PlatformPath, AStreamSpoiltLaterEndsTheClientsConnectionWithoutTheLastChunk) {
+  w.writer.script = [&](Request& r) {
+    if (!PlatformWorld::answerCalls(r)) r.stream->send(std::string(kHead) + chunk(kEvent) + "nosize\r\n");
+  };
+  auto c = w.client();
+  c->ask("b1");
+  ASSERT_TRUE(w.until([&] { return c->closed; }, 2'000'000));
+  EXPECT_EQ(c->count(kEvent), 1u);
+  EXPECT_FALSE(c->has(kLast));
+  EXPECT_EQ(w.writer.count("POST"), 1u);
+  EXPECT_TRUE(w.clean());
+}
+
+TEST_F(PlatformPath, AnAnswerThatNobodyAskedForIsNotTakenForTheNext) {
+  for (const bool late : {false, true}) {
+    w.writer.script = [&](Request& r) {
+      if (PlatformWorld::answerCalls(r)) return;
+      const std::string foreign = std::string(kHead) + chunk("data: foreign\n\n") + kLast;
+      r.stream->send("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + kWhole + (late ? "" : foreign));
+      if (late) w.loop.after(5000, [&w = w, s = r.stream, foreign] { s->send(foreign); });
+    };
+    for (int i = 0; i < 3; ++i) {
+      auto c = w.client();
+      c->ask((late ? "l" : "e") + std::to_string(i));
+      ASSERT_TRUE(w.until([&] { return c->has(kLast); }, 2'000'000)) << c->got;
+      EXPECT_FALSE(c->has("foreign"));
+      w.pass(10'000);
+    }
+  }
+  EXPECT_TRUE(w.clean());
+}
+
+TEST_F(PlatformPath, AClientThatGoesAwayLeavesNothingBehind) {
+  w.writer.script = [](Request& r) { PlatformWorld::answerCalls(r); };  // no answer to writes
+  auto c = w.client();
+  c->ask("g1");
+  ASSERT_TRUE(w.until([&] { return w.writer.count("POST") == 1; }, 2'000'000));
+  c->stream.close();
+  EXPECT_TRUE(w.until([&] { return w.reader.count("DELETE") + w.writer.count("DELETE") == 1; }, 1'000'000));
+  EXPECT_TRUE(w.until([&] { return w.writer.gone() == 1; }, 1'000'000));
+  EXPECT_TRUE(w.clean());
+}
+
+TEST_F(PlatformPath, AReleaseGoesElsewhereWhereTheReaderIsSilent) {
+  w.reader.script = [](Request& r) {
+    if (r.head.method == "POST") r.stream->send(kRead);  // and no word to a release
+  };
+  w.writer.script = [](Request& r) { PlatformWorld::answerCalls(r); };
+  auto c = w.client();
+  c->ask("h1");
+  ASSERT_TRUE(w.until([&] { return w.writer.count("POST") == 1; }, 2'000'000));
+  c->stream.close();
+  EXPECT_TRUE(w.until([&] { return w.writer.count("DELETE") == 1; }, 790'000));
+  EXPECT_TRUE(w.clean());
+}
+
+TEST_F(PlatformPath, BadRequestsGetAnErrorAndTheirConnectionEnds) {
+  const std::string good = "X-Trace-Id: x1\r\nX-Qos: chat\r\nX-Expires-In-Ms: 3000\r\n";
+  for (const std::string& bad :
+       {std::string("\x01\x02\x03\r\n\r\n"),
+        std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"),
+        "POST /v1/chat/completions HTTP/1.1\r\n" + good +
+            "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+        "POST /v1/chat/completions HTTP/1.1\r\n" + good + "Content-Length: -4\r\n\r\n",
+        "POST /v1/chat/completions HTTP/1.1\r\n" + good + "Content-Length: 63000000\r\n\r\n" +
+            std::string(5000, 'b'),
+        "POST /v1/chat/completions HTTP/1.1\r\n" + good + "Content-Length: 5\r\n\r\n{\"a\":1}",
+        "POST /v1/chat/completions HTTP/1.1\r\nX: " + std::string(40'000, 'y')}) {
+    auto c = w.client();
+    c->stream.send(bad);
+    EXPECT_TRUE(w.until([&] { return c->closed; }, 1'000'000)) << bad.substr(0, 40);
+    EXPECT_TRUE(c->has("HTTP/1.1 4")) << c->got;
+    EXPECT_EQ(c->count("HTTP/1.1 "), 1u);
+  }
+  EXPECT_EQ(w.reader.count("POST"), 0u);
+}
+
+TEST_F(PlatformPath, TheIdOfAnOpenRequestIsTurnedAwayAndTheFirstGoesOn) {
+  Request* held = nullptr;
+  w.writer.script = [&](Request& r) {
+    if (!PlatformWorld::answerCalls(r)) held = &r;
+  };
+  auto c = w.client();
+  c->ask("d1");
+  ASSERT_TRUE(w.until([&] { return held != nullptr; }, 2'000'000));
+  auto other = w.client();
+  other->ask("d1");
+  EXPECT_TRUE(w.until([&] { return other->has("HTTP/1.1 409"); }, 1'000'000));
+  held->stream->send(kWhole);
+  EXPECT_TRUE(w.until([&] { return c->has(kLast); }, 1'000'000));
+  EXPECT_EQ(w.writer.count("POST"), 1u);
+}
+
+TEST_F(PlatformPath, HalfRequestsAndSilenceEndInTime) {
+  auto silent = w.client();
+  auto half = w.client();
+  auto slow = w.client();
+  half->stream.send("POST /v1/chat/completions HTTP/1.1\r\nHost");
+  slow->ask("t1", "chat", "", "");
+  EXPECT_TRUE(w.until([&] { return silent->closed && half->closed; }, 3'000'000));
+  EXPECT_TRUE(half->has("HTTP/1.1 408"));
+}
+
+TEST_F(PlatformPath, AFloodOfSilentConnectionsKeepsNobodyOut) {
+  std::vector<std::unique_ptr<RawClient>> flood;
+  for (int i = 0; i < 300; ++i) flood.push_back(w.client());
+  w.pass(100'000);
+  auto c = w.client();
+  c->ask("f1");
+  EXPECT_TRUE(w.until([&] { return c->has(kLast); }, 2'000'000)) << c->got;
+  EXPECT_LE(w.node->front().connections(), 128u);
+}
+
+TEST_F(PlatformPath, ATrickledRequestIsServed) {
+  auto c = w.client();
+  RawClient whole(w.loop, w.node->address());
+  const std::string body = R"({"model":"m"})";
+  const std::string text =
+      "POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: k1\r\nX-Qos: chat\r\nX-Expires-In-Ms: 3000\r\n"
+      "Content-Length: 13\r\n\r\n" +
+      body;
+  std::size_t at = 0;
+  std::function<void()> next = [&] {
+    c->stream.send(text.substr(at++, 1));
+    if (at < text.size()) w.loop.after(1000, next);
+  };
+  next();
+  EXPECT_TRUE(w.until([&] { return c->has(kLast); }, 3'000'000)) << c->got;
+}
+
+TEST_F(PlatformPath, PipelinedRequestsAreAnsweredInOrder) {
+  auto c = w.client();
+  c->ask("p1");
+  c->ask("p2");
+  c->ask("p3");
+  EXPECT_TRUE(w.until([&] { return c->count(kLast) == 3; }, 3'000'000)) << c->got;
+  EXPECT_EQ(w.writer.count("POST"), 3u);
+}
+
+// Engines that reset a kept connection at its next request: reads are sent again, unsafe requests go on new
+// connections once that is known.
+TEST_F(PlatformPath, KeptConnectionsThatDieCostNoUnsafeRequest) {
+  std::vector<std::size_t> used;
+  const auto resetting = [&](std::string_view answer) {
+    return [&used, answer](Request& r) {
+      if (PlatformWorld::answerCalls(r)) return;
+      const bool again = std::count(used.begin(), used.end(), reinterpret_cast<std::size_t>(r.stream)) > 0;
+      used.push_back(reinterpret_cast<std::size_t>(r.stream));
+      again ? r.stream->close(true) : r.stream->send(answer);
+    };
+  };
+  w.reader.script = resetting(kRead);
+  w.writer.script = resetting(kWhole);
+  for (int i = 0; i < 4; ++i) {
+    auto c = w.client();
+    c->ask("k" + std::to_string(i));
+    ASSERT_TRUE(w.until([&] { return c->has(kLast); }, 2'000'000)) << c->got;
+  }
+  for (int i = 0; i < 8; ++i) {
+    auto c = w.client();
+    c->ask("m" + std::to_string(i), "order");
+    ASSERT_TRUE(w.until([&] { return c->has(kLast) || c->has("HTTP/1.1 5"); }, 2'000'000));
+    EXPECT_TRUE(c->has(kLast)) << i << c->got;
+  }
+  EXPECT_TRUE(w.clean());
+}
+
+TEST_F(PlatformPath, ARefusedEngineIsGivenUpAndTheClientToldWhenToComeBack) {
+  w.watches.at(0).second->piece(R"({"revision":2,"complete":false,"members":[)" +
+                                w.member("w", w.writer, "m2", "draining") + "]}\n");
+  ASSERT_TRUE(w.until([&] { return w.node->list().version() == 2; }, 1'000'000));
+  w.pass(300'000);
+  auto c = w.client();
+  c->ask("n1");
+  ASSERT_TRUE(w.until([&] { return c->has("\r\n\r\n"); }, 3'500'000));
+  EXPECT_TRUE(c->has("HTTP/1.1 429") || c->has("HTTP/1.1 503")) << c->got;
+  EXPECT_TRUE(c->has("Retry-After: 0.")) << c->got;
+  EXPECT_EQ(w.writer.count("POST"), 0u);
+}
+
+TEST_F(PlatformPath, TheWatchIsBegunAnewFromTheVersionThatIsHeld) {
+  ASSERT_EQ(w.watches.size(), 1u);
+  EXPECT_NE(w.watches[0].first.find("index=0"), std::string::npos);
+  w.watches[0].second->cut();
+  ASSERT_TRUE(w.until([&] { return w.watches.size() == 2; }, 2'000'000));
+  EXPECT_NE(w.watches[1].first.find("stream=1&index=1"), std::string::npos);
+}
+
+TEST_F(PlatformPath, AReloadMovesTheWatchAndKeepsWhatIsServed) {
+  std::vector<std::pair<std::string, std::shared_ptr<standin::HttpReply>>> others;
+  auto other = w.makeDiscovery(others);
+  w.firstList = R"({"revision":9,"complete":false,"members":[)" + w.member("w2", w.otherWriter, "m2") + "]}";
+  w.node->reload(w.read(other->address().toString()));
+  ASSERT_TRUE(w.until([&] { return w.node->list().version() == 9; }, 1'000'000));
+  EXPECT_EQ(w.node->list().engines().size(), 3u);
+  EXPECT_FALSE(w.watches[0].second->open());
+  auto c = w.client();
+  c->ask("r1");
+  EXPECT_TRUE(w.until([&] { return c->has(kLast); }, 2'000'000));
+  w.watches.clear();
+  others.clear();
+}
+
+TEST_F(PlatformPath, DrainingTakesRequestsForAWhileAndFinishesAll) {
+  Request* held = nullptr;
+  w.writer.script = [&](Request& r) {
+    if (PlatformWorld::answerCalls(r)) return;
+    if (held == nullptr) {
+      held = &r;
+      r.stream->send(std::string(kHead) + chunk(kEvent));
+    } else {
+      r.stream->send(kWhole);
+    }
+  };
+  auto running = w.client();
+  running->ask("x1");
+  ASSERT_TRUE(w.until([&] { return running->has(kEvent); }, 2'000'000));
+  auto idle = w.client();
+  idle->ask("x2");
+  ASSERT_TRUE(w.until([&] { return idle->has(kLast); }, 2'000'000));
+  const auto address = w.node->address();
+  bool done = false;
+  w.node->drain([&] { done = true; });
+  EXPECT_TRUE(w.until([&] { return idle->closed; }, 500'000));
+  auto late = w.client();  // the platform's front does not know yet
+  late->ask("x3");
+  EXPECT_TRUE(w.until([&] { return late->has(kLast) && late->closed; }, 500'000)) << late->got;
+  EXPECT_TRUE(late->has("Connection: close"));
+  w.pass(700'000);
+  EXPECT_FALSE(done);
+  held->stream->send(chunk(kDone) + kLast);
+  EXPECT_TRUE(w.until([&] { return done; }, 1'000'000));
+  EXPECT_TRUE(running->has(kLast));
+  RawClient after(w.loop, address);
+  EXPECT_TRUE(w.until([&] { return after.closed; }, 1'000'000));
+}
+
+}  // namespace
+}  // namespace garnethook::test
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,459 @@
+// The platform's packages without sockets: what is read from peers, and what small modules decide.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "engine/reuse_policy.h"
+#include "platform/config/platform_config.h"
+#include "platform/discovery/line_splitter.h"
+#include "platform/discovery/target_list.h"
+#include "platform/discovery/watch_policy.h"
+#include "platform/engine/protocol.h"
+#include "platform/engine/relay_exchange.h"
+#include "platform/engine/release_route.h"
+#include "platform/front/connection_policy.h"
+#include "platform/front/intake.h"
+#include "platform/node/budget.h"
+
+namespace garnethook::platform {
+namespace {
+
+constexpr Micros kMs = 1000;
+constexpr Micros kSec = 1'000'000;
+
+// ---- configuration ----
+
+constexpr std::string_view kConfig = R"({
+  "name": "n3", "listen": "127.0.0.4:9000", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+  "limits": {"cores": 0.5, "memory_mb": 64, "sockets": 512},
+  "known": {"revision": 41, "complete": true, "members": [
+    {"id": "s-1", "host_port": "127.0.0.9:9000", "locality": "b", "flavor": "m1", "cell": 3, "phase": "ready", "size": 1.0, "up_since_ms": 0}]},
+  "settings": {
+    "az": "b", "zones": ["a", "b"], "skus": ["m1", "m2"], "balancers": 2, "discovery": "push",
+    "allowed": {"attemptsCap": 6, "mayCancel": true, "probes": true, "connIdleMs": 15000.0, "dialTimeoutMs": 250.0,
+                "retryAfter": true, "maxRetryAfterMs": 500.0},
+    "familyInfo": {"kindRole": ["read", "write"], "memoryTokens": [200000, 100000], "releaseWithinMs": 500.0,
+                   "aimUsPer1000PromptTokens": [60000.0, 40000.0], "tokenAimMs": [50.0, 70.0],
+                   "reportX0": "share of memory that is held", "reportX1": "thousands of prompt tokens waiting"},
+    "profiles": [
+      {"name": "chat", "aimMs": 800.0, "deadlineMs": 3000.0, "effect": "read_like", "worth": 1.0},
+      {"name": "order", "aimMs": 1500.0, "deadlineMs": 6000.0, "effect": "non_idempotent", "worth": 3.0}],
+    "rules": {"coldFrom": 0.3, "warmWithinMs": 9000.0, "fallMultiple": 2.5, "tipAfterMs": 1500.0},
+    "future": {"key": [1, 2]}}
+})";
+
+Environment none() {
+  return [](const char*) -> std::optional<std::string> { return std::nullopt; };
+}
+PlatformConfig read(const std::string& text, const Environment& environment = none()) {
+  return readConfig(config::JsonFile::parse("config.json", text), environment);
+}
+std::string without(std::string_view part, std::string_view with = "") {
+  std::string text(kConfig);
+  const auto at = text.find(part);
+  EXPECT_NE(at, std::string::npos);
+  return text.replace(at, part.size(), with);
+}
+std::string troubleOf(const std::string& text) {
+  try {
+    read(text);
+  } catch (const config::Error& e) { return e.what(); }
+  return "none";
+}
+
+TEST(PlatformConfig, TellsTheSameSettingsAsTheWire) {
+  const auto c = read(std::string(kConfig));
+  EXPECT_EQ(c.name, "n3");
+  EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(c.limits.descriptors, 512u);
+  EXPECT_EQ(c.limits.memory, 64u << 20);
+  const auto& s = c.provision.settings;
+  EXPECT_EQ(s.ownZone, 1u);
+  ASSERT_EQ(s.classes.size(), 2u);
+  EXPECT_EQ(s.classes[0].aim, 800 * kMs);
+  EXPECT_EQ(s.classes[1].effect, Effect::unsafe);
+  EXPECT_EQ(s.classes[1].aimPerKiloToken, 40'000);
+  EXPECT_EQ(s.kinds[1].role, Role::writer);
+  EXPECT_EQ(s.maxAttempts, 6);
+  EXPECT_EQ(c.provision.connectionIdle, 15 * kSec);
+  EXPECT_NE(c.provision.report.x0.find("share_of_memory"), std::string::npos);
+  ASSERT_EQ(c.known.size(), 1u);
+  EXPECT_EQ(c.known.at("s-1").cell, "3");
+  EXPECT_EQ(c.knownVersion, 41);
+}
+
+TEST(PlatformConfig, TheFileGoesBeforeTheEnvironmentWhichFillsItsGaps) {
+  const Environment environment = [](const char* name) -> std::optional<std::string> {
+    return std::string(name) == "RELAY_DISCOVERY" ? std::optional<std::string>("127.0.0.2:1") : std::nullopt;
+  };
+  EXPECT_EQ(read(std::string(kConfig), environment).discovery, "127.0.0.1:8500");
+  EXPECT_EQ(read(without(R"("discovery": "127.0.0.1:8500", )"), environment).discovery, "127.0.0.2:1");
+}
+
+TEST(PlatformConfig, ErrorsNameFileLineAndKey) {
+  EXPECT_NE(troubleOf(without(R"("read_like")", R"("odd")"))
+                .find("config.json:14: settings.field 'profiles.0.effect'"),
+            std::string::npos)
+      << troubleOf(without(R"("read_like")", R"("odd")"));
+  EXPECT_NE(troubleOf(without("127.0.0.4:9000", "nowhere")).find("config.json:2: listen"), std::string::npos);
+  EXPECT_NE(troubleOf(without(R"("memory_mb": 64)", R"("memory_mb": -1)")).find("limits.memory_mb"),
+            std::string::npos);
+  EXPECT_NE(troubleOf(without(R"(["m1", "m2"])", "[]")).find("settings"), std::string::npos);
+}
+
+// ---- discovery ----
+
+std::string entry(const std::string& id, const std::string& phase, int since = 0) {
+  return R"({"id":")" + id +
+         R"(","host_port":"127.0.0.1:90","locality":"a","flavor":"m","cell":1,"phase":")" + phase +
+         R"(","size":1.5,"up_since_ms":)" + std::to_string(since) + "}";
+}
+std::string list(int version, bool complete, const std::string& members) {
+  return R"({"revision":)" + std::to_string(version) + R"(,"complete":)" + (complete ? "true" : "false") +
+         R"(,"members":[)" + members + "]}";
+}
+
+TEST(Targets, ChangesAreAppliedAndTold) {
+  TargetList targets;
+  targets.apply(parseTargets(list(5, true, entry("a", "ready") + "," + entry("b", "ready", 7))));
+  EXPECT_EQ(targets.engines().size(), 2u);
+  EXPECT_EQ(targets.engines().at("b").startedAt, 7000);
+  EXPECT_DOUBLE_EQ(targets.engines().at("a").weight, 1.5);
+  auto change =
+      targets.apply(parseTargets(list(6, false, entry("a", "draining") + "," + entry("b", "gone"))));
+  EXPECT_EQ(change.kind, ServerList::Kind::changes);
+  EXPECT_EQ(change.entries.at("b").state, ServerState::gone);
+  EXPECT_EQ(targets.engines().size(), 1u);
+  EXPECT_EQ(targets.engines().at("a").state, ServerState::draining);
+  EXPECT_EQ(targets.version(), 6);
+}
+
+TEST(Targets, OldChangesAreLeftAndACompleteListAlwaysHolds) {
+  TargetList targets;
+  targets.apply(parseTargets(list(5, true, entry("a", "ready"))));
+  EXPECT_FALSE(targets.apply(parseTargets(list(4, false, entry("a", "gone")))).any);
+  EXPECT_EQ(targets.engines().size(), 1u);
+  EXPECT_TRUE(targets.apply(parseTargets(list(1, true, entry("c", "ready")))).any);
+  EXPECT_TRUE(targets.engines().contains("c"));
+  EXPECT_FALSE(targets.engines().contains("a"));
+}
+
+TEST(Targets, WhatCantBeUsedIsLeftOutOrRefused) {
+  const auto update = parseTargets(
+      list(1, true, entry("a", "ready") + R"(,{"id":"b","phase":"ready"},3,)" + entry("c", "resting")));
+  EXPECT_EQ(update.engines.size(), 2u);
+  EXPECT_EQ(update.troubles.size(), 2u);
+  EXPECT_EQ(update.engines[1].state, ServerState::draining);  // a word not known promises nothing
+  for (const char* bad :
+       {"", "[]", "{", R"({"revision":1})", R"({"members":[]})", R"({"revision":"x","members":[]})"})
+    EXPECT_THROW(parseTargets(bad), std::runtime_error) << bad;
+  EXPECT_THROW(parseTargets(std::string(5000, '[')), std::runtime_error);
+}
+
+TEST(Lines, AreCutWhateverThePiecesAndBounded) {
+  const std::string text = "one\n\ntwo\r\nthree";
+  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+    LineSplitter lines(10);
+    std::vector<std::string> got;
+    for (std::size_t at = 0; at < text.size(); at += piece)
+      EXPECT_TRUE(lines.receive(std::string_view(text).substr(at, piece),
+                                [&](std::string_view line) { got.emplace_back(line); }));
+    EXPECT_EQ(got, (std::vector<std::string>{"one", "", "two"}));
+  }
+  LineSplitter lines(10);
+  EXPECT_FALSE(lines.receive(std::string(11, 'x'), [](std::string_view) {}));
+}
+
+TEST(WatchPolicy, PausesGrowAndStartAnewOnceHeard) {
+  WatchPolicy policy;
+  const Micros first = policy.ended();
+  EXPECT_GT(policy.ended(), first);
+  for (int i = 0; i < 50; ++i) EXPECT_LE(policy.ended(), policy.options().longestPause);
+  policy.heard();
+  EXPECT_EQ(policy.ended(), first);
+}
+
+// ---- engines ----
+
+http1::Head head(int status, http1::Fields fields = {}) {
+  http1::Head h;
+  h.status = status;
+  h.fields = std::move(fields);
+  return h;
+}
+
+TEST(Protocol, StatusAndFieldDecideWhatAnAnswerMeans) {
+  using routing::Job;
+  EXPECT_EQ(judge(head(202), Job::read), Verdict::readDone);
+  EXPECT_EQ(judge(head(200), Job::write), Verdict::stream);
+  EXPECT_EQ(judge(head(200), Job::read), Verdict::failed);
+  EXPECT_EQ(judge(head(202), Job::write), Verdict::failed);
+  EXPECT_EQ(judge(head(503, {{"x-never-ran", "1"}}), Job::write), Verdict::turnedAway);
+  EXPECT_EQ(judge(head(504, {{"x-never-ran", " 1 "}}), Job::read), Verdict::turnedAway);
+  EXPECT_EQ(judge(head(410, {{"x-never-ran", "1"}}), Job::write), Verdict::noState);
+  EXPECT_EQ(judge(head(503), Job::write), Verdict::failed);  // no proof
+  EXPECT_EQ(judge(head(410), Job::write), Verdict::failed);
+  EXPECT_EQ(judge(head(500), Job::read), Verdict::failed);
+}
+
+TEST(Protocol, ReportsAreTakenWholeOrNotAtAll) {
+  const provision::ReportMeanings meanings{"share_of_memory_that_is_held",
+                                           "thousands_of_prompt_tokens_waiting"};
+  const auto report = parseReport(" TEXT latency_ms=41.378, x0=0.25, x1=3\r\n", meanings);
+  ASSERT_TRUE(report);
+  EXPECT_DOUBLE_EQ(*report->memoryShare, 0.25);
+  EXPECT_DOUBLE_EQ(*report->queuedKiloTokens, 3);
+  for (const char* bad : {"", "TEXT ", "TEXT x0", "TEXT x0=", "TEXT x0=0.2, x1=zz", "JSON {}", "TEXT x0=-1",
+                          "TEXT x0=nan", "TEXT x0=1e999", "TEXT other=1", "\x01\xff"})
+    EXPECT_FALSE(parseReport(bad, meanings)) << bad;
+}
+
+TEST(Protocol, TheClientsRequestIsPassedOnAsItCame) {
+  routing::Ask ask;
+  ask.target = "/v1/chat/completions?a=b";
+  ask.body = std::make_shared<const std::string>(R"({"stream":true})");
+  membership::EngineSpec engine;
+  engine.host = "127.0.0.9";
+  engine.port = 90;
+  routing::Order order{.ask = &ask, .workId = "9b1f", .timeout = 1'234'567};
+  EXPECT_EQ(requestText(engine, order),
+            "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: 127.0.0.9:90\r\nX-Trace-Id: 9b1f\r\n"
+            "X-Expires-In-Ms: 1234\r\nContent-Type: application/json\r\nContent-Length: "
+            "15\r\n\r\n{\"stream\":true}");
+  EXPECT_EQ(callText(engine, "DELETE", releaseTarget("9b1f")),
+            "DELETE /v1/holds/9b1f HTTP/1.1\r\nHost: 127.0.0.9:90\r\nContent-Length: 0\r\n\r\n");
+}
+
+struct Heard final : routing::EngineEvents {
+  void onTokens(routing::AttemptId, std::string_view text, std::uint32_t count,
+                std::span<const std::uint32_t>) override {
+    events += text;
+    pieces += count;
+    ++calls;
+  }
+  void onAttemptEnded(routing::AttemptId, const routing::AttemptResult& r) override {
+    ++ends;
+    result = r;
+  }
+  void onProbeEnded(ServerId, bool, const std::optional<LoadReport>&) override {}
+  void onReleaseEnded(ServerId, RequestId, bool) override {}
+  std::string events;
+  std::uint32_t pieces = 0;
+  int calls = 0;
+  int ends = 0;
+  routing::AttemptResult result;
+};
+const provision::ReportMeanings kMeanings{"share_of_memory", "thousands_of_prompt_tokens"};
+constexpr std::string_view kEvents =
+    "data: {\"a\":1}\n\ndata: {\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\": 4096}}}\n\ndata: "
+    "[DONE]\n\n";
+
+TEST(Relay, EventsGoOnWholeAndUnchangedWhateverThePieces) {
+  const std::string text = std::string(kEvents) + ": Endpoint-Load-Metrics: TEXT x0=0.5\n\n";
+  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+    Heard heard;
+    RelayExchange relay(heard, {}, routing::Job::write, kMeanings);
+    EXPECT_TRUE(relay.onHead(head(200)));
+    for (std::size_t at = 0; at < text.size(); at += piece)
+      relay.onBody(std::string_view(text).substr(at, piece));
+    relay.onEnd();
+    EXPECT_EQ(heard.events, kEvents);
+    EXPECT_EQ(heard.pieces, 3u);
+    EXPECT_EQ(heard.result.outcome, Outcome::served);
+    EXPECT_DOUBLE_EQ(heard.result.foundTokens, 4096);
+    ASSERT_TRUE(heard.result.report);
+    EXPECT_DOUBLE_EQ(*heard.result.report->memoryShare, 0.5);
+    EXPECT_EQ(heard.ends, 1);
+  }
+}
+
+TEST(Relay, AnUnfinishedEventIsNotPassedOn) {
+  Heard heard;
+  RelayExchange relay(heard, {}, routing::Job::write, kMeanings);
+  relay.onHead(head(200));
+  relay.onBody("data: {\"a\":1}\n\ndata: {\"b\"");
+  EXPECT_EQ(heard.events, "data: {\"a\":1}\n\n");
+  relay.onFailed(Outcome::reset, "gone", false);
+  EXPECT_EQ(heard.ends, 1);
+  EXPECT_EQ(heard.result.outcome, Outcome::reset);
+}
+
+TEST(Relay, EndingsOfReadsAndErrors) {
+  const auto end = [](int status, http1::Fields fields, routing::Job job, std::string_view body) {
+    Heard heard;
+    RelayExchange relay(heard, {}, job, kMeanings);
+    relay.onHead(head(status, std::move(fields)));
+    if (!body.empty()) relay.onBody(body);
+    relay.onEnd();
+    EXPECT_EQ(heard.ends, 1);
+    EXPECT_EQ(heard.calls, 0);
+    return heard.result;
+  };
+  const auto read =
+      end(202, {{"endpoint-load-metrics", "TEXT x1=2"}}, routing::Job::read, R"({"cached_tokens":4096})");
+  EXPECT_EQ(read.outcome, Outcome::readDone);
+  EXPECT_DOUBLE_EQ(read.foundTokens, 4096);
+  EXPECT_DOUBLE_EQ(*read.report->queuedKiloTokens, 2);
+  EXPECT_EQ(end(202, {}, routing::Job::read, "noise").outcome, Outcome::readDone);
+  const auto missing = end(410, {{"x-never-ran", "1"}}, routing::Job::write, "");
+  EXPECT_EQ(missing.outcome, Outcome::full);
+  EXPECT_TRUE(missing.stateMissing);
+  EXPECT_EQ(end(503, {{"x-never-ran", "1"}}, routing::Job::read, "").outcome, Outcome::full);
+  EXPECT_EQ(end(500, {}, routing::Job::write, "oh").outcome, Outcome::error);
+  EXPECT_EQ(end(200, {}, routing::Job::write, ": nothing but a comment\n\n").outcome, Outcome::error);
+}
+
+TEST(Relay, WhatGrowsWithoutEndIsGivenUp) {
+  Heard heard;
+  RelayExchange relay(heard, {}, routing::Job::write, kMeanings);
+  relay.onHead(head(200));
+  bool going = true;
+  for (int i = 0; i < 100 && going; ++i) going = relay.onBody(std::string(1024, 'x'));
+  EXPECT_FALSE(going);
+  EXPECT_EQ(heard.result.outcome, Outcome::error);
+  Heard heard2;
+  RelayExchange read(heard2, {}, routing::Job::read, kMeanings);
+  read.onHead(head(202));
+  going = true;
+  for (int i = 0; i < 100 && going; ++i) going = read.onBody(std::string(1024, 'x'));
+  EXPECT_FALSE(going);
+  EXPECT_EQ(heard2.ends, 1);
+}
+
+TEST(ReleaseRoute, TheHolderThenItsCellThenOthersThatRun) {
+  const std::vector<ReleaseCandidate> all{{{1}, "a"}, {{2}, "a"}, {{3}, "b"}, {{4}, "b", false}};
+  for (std::uint64_t request = 0; request < 9; ++request) {
+    const auto route = releaseRoute({2}, all, request);
+    ASSERT_EQ(route.size(), kReleaseTargets);
+    EXPECT_EQ(route[0].value, 2u);
+    EXPECT_EQ(route[1].value, 1u);
+    EXPECT_EQ(route[2].value, 3u);
+    const auto gone = releaseRoute({9}, all, request);  // the holder is no longer listed
+    ASSERT_EQ(gone.size(), 3u);
+    EXPECT_EQ(std::count(gone.begin(), gone.end(), ServerId{4}), 0);
+  }
+  EXPECT_NE(releaseRoute({9}, all, 0)[0], releaseRoute({9}, all, 1)[0]);
+  EXPECT_TRUE(releaseRoute({1}, {}, 0).empty());
+}
+
+TEST(Reuse, IsFreeUntilAKeptConnectionDies) {
+  engine::ReusePolicy policy;
+  EXPECT_TRUE(policy.mayReuse(10 * kSec, true, kSec));
+  for (int i = 0; i < 20; ++i) policy.note(3 * kMs, false, kSec);
+  for (int i = 0; i < 5; ++i) policy.note(600 * kMs, true, kSec);
+  EXPECT_TRUE(policy.mayReuse(3 * kMs, false, kSec));
+  EXPECT_FALSE(policy.mayReuse(3 * kMs, true, kSec));  // one in fifty would be too many
+  EXPECT_FALSE(policy.mayReuse(600 * kMs, false, kSec));
+  for (int i = 0; i < 200; ++i) policy.note(3 * kMs, false, 2 * kSec);
+  EXPECT_TRUE(policy.mayReuse(3 * kMs, true, 2 * kSec));
+  EXPECT_TRUE(policy.mayReuse(600 * kMs, true, 60 * kSec));  // forgotten
+}
+
+// ---- front ----
+
+provision::Provision provisionOf() { return read(std::string(kConfig)).provision; }
+
+http1::Head request(http1::Fields more = {}) {
+  http1::Head h;
+  h.method = "POST";
+  h.target = "/v1/chat/completions";
+  h.fields = {{"x-trace-id", "9b1f03aa5c7e2d41"},
+              {"x-qos", "chat"},
+              {"x-object", "7f3a"},
+              {"x-expires-in-ms", "4800"},
+              {"x-props", "prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800"}};
+  for (auto& f : more) {
+    std::erase_if(h.fields, [&](const auto& have) { return have.name == f.name; });
+    if (f.value != "-") h.fields.push_back(std::move(f));
+  }
+  return h;
+}
+int statusOf(const http1::Head& h, const std::string& body = R"({"model":"chat"})") {
+  const auto out = readRequest(h, body, provisionOf());
+  return std::holds_alternative<Refusal>(out) ? std::get<Refusal>(out).status : 200;
+}
+
+TEST(Intake, AGoodRequestIsTaken) {
+  const auto out = readRequest(request(), R"({"model":"chat"})", provisionOf());
+  ASSERT_TRUE(std::holds_alternative<routing::Ask>(out));
+  const auto& ask = std::get<routing::Ask>(out);
+  EXPECT_EQ(ask.workId, "9b1f03aa5c7e2d41");
+  EXPECT_EQ(ask.requestClass, 0u);
+  EXPECT_EQ(ask.remaining, 4'800'000);
+  EXPECT_EQ(ask.session, "7f3a");
+  EXPECT_EQ(ask.shared, "5c0f");
+  EXPECT_DOUBLE_EQ(ask.promptTokens, 5120);
+  EXPECT_DOUBLE_EQ(ask.sharedTokens, 2048);
+  EXPECT_EQ(ask.maxOutput, 800u);
+  EXPECT_EQ(*ask.body, R"({"model":"chat"})");
+}
+
+TEST(Intake, WithoutCountsTheBodyIsMeasured) {
+  const auto out = readRequest(request({{"x-props", "-"}}), R"({"model":"chat"})", provisionOf());
+  EXPECT_DOUBLE_EQ(std::get<routing::Ask>(out).promptTokens, 4);
+}
+
+TEST(Intake, WhatCantBeServedIsTurnedAway) {
+  EXPECT_EQ(statusOf(request()), 200);
+  for (const http1::Fields& bad : std::vector<http1::Fields>{
+           {{"x-trace-id", "-"}},
+           {{"x-trace-id", "a b"}},
+           {{"x-trace-id", std::string(65, 'a')}},
+           {{"x-trace-id", ""}},
+           {{"x-qos", "-"}},
+           {{"x-qos", "gold"}},
+           {{"x-expires-in-ms", "-"}},
+           {{"x-expires-in-ms", "soon"}},
+           {{"x-expires-in-ms", "-5"}},
+           {{"x-expires-in-ms", "0"}},
+           {{"x-expires-in-ms", "99999999999999999999"}},
+           {{"x-expires-in-ms", "12.5"}},
+           {{"x-props", "prompt_len=-1"}},
+           {{"x-props", "prompt_len=99999999999"}},
+           {{"x-props", "prompt_len=many"}},
+           {{"x-props", "prefix"}},
+           {{"x-trace-id", "one"}, {"x-other", "x"}, {"x-object", std::string(300, 'o')}}})
+    EXPECT_EQ(statusOf(request(bad)), 400) << bad[0].name << " " << bad[0].value;
+  auto twice = request();
+  twice.fields.push_back({"x-trace-id", "other"});
+  EXPECT_EQ(statusOf(twice), 400);
+  for (const char* body : {"", "[]", "{", R"({"model":"chat")", "text", R"({"a":1}{"b":2})"})
+    EXPECT_EQ(statusOf(request(), body), 400) << body;
+  EXPECT_EQ(statusOf(request(), R"({"a":)" + std::string(100, '[') + std::string(100, ']') + "}"), 400);
+  auto get = request();
+  get.method = "GET";
+  EXPECT_EQ(statusOf(get), 405);
+  auto elsewhere = request();
+  elsewhere.target = "/v1/other";
+  EXPECT_EQ(statusOf(elsewhere), 404);
+}
+
+TEST(ConnectionPolicy, IdleTimeShrinksWithTheRoomAndSilentOnesGoFirst) {
+  const ConnectionPolicy policy({.connections = 100});
+  EXPECT_EQ(policy.idleLimit(10), policy.options().idleMost);
+  EXPECT_EQ(policy.idleLimit(90), policy.options().idleLeast);
+  EXPECT_LT(policy.idleLimit(50), policy.idleLimit(30));
+  EXPECT_GE(policy.idleLimit(1000), 2 * kSec);  // what clients count on
+  using Standing = ConnectionPolicy::Standing;
+  EXPECT_FALSE(policy.mayEvict(Standing::busy, 100 * kSec));
+  EXPECT_FALSE(policy.mayEvict(Standing::idle, kSec));
+  EXPECT_TRUE(policy.mayEvict(Standing::idle, 3 * kSec));
+  EXPECT_FALSE(policy.mayEvict(Standing::fresh, kMs));
+  EXPECT_TRUE(policy.mayEvict(Standing::fresh, 50 * kMs));
+}
+
+TEST(Budget, SharesStayWithinTheLimits) {
+  for (const std::size_t descriptors : {32u, 64u, 256u, 512u, 1024u, 65536u}) {
+    const auto b = share({.memory = 32u << 20, .descriptors = descriptors});
+    EXPECT_LE(b.clients + b.attempts, descriptors);
+    if (descriptors >= 256) {
+      EXPECT_GE(b.clients, descriptors / 3);  // what clients may hold for requests
+      EXPECT_GE(b.attempts, descriptors / 4);
+    }
+    EXPECT_LE(b.bodies, 8u << 20);
+  }
+  EXPECT_LT(Times::idle(15 * kSec), 15 * kSec);
+}
+
+}  // namespace
+}  // namespace garnethook::platform
--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -61,8 +61,8 @@
   EXPECT_EQ(d.count<Refuse>(40), 0);
 }
 
-// One read gets no answer while reads sent there later do: its connection is lost. It counts for no queue, and
-// is tried elsewhere once its own time is over.
+// One read gets no answer while reads sent there later do: its connection is lost. It counts for no queue,
+// and is tried elsewhere once its own time is over.
 TEST(LostConnection, IsGivenUpAndTellsNothingOfTheServer) {
   Driver d(settings());
   d.list({server(1, kReader), server(11, kWriter)});
@@ -109,6 +109,70 @@
   EXPECT_EQ(d.count<Refuse>(90), 0);
 }
 
+// Old connections that break without a sign are no symptom of their server: it keeps its work, and the read
+// goes there once more.
+TEST(KeptConnections, ThatBreakMakeNoSuspect) {
+  Driver d(settings());
+  d.list(fleet());
+  d.run(d.request(1));
+  for (std::uint64_t id = 2; id < 30; ++id) {
+    auto ask = d.request(id);
+    ask.session = {1001};  // what the first reader has cached
+    d.give(ask);
+    const auto reader = d.sentTo(id);
+    AttemptEnded broken{.id = {id}, .attempt = 0, .server = {reader}, .outcome = Outcome::reset};
+    broken.keptConnection = true;
+    d.give(broken);
+    ASSERT_EQ(d.sentTo(id), reader);
+    d.pass(20 * kMs);
+    d.end(id, Outcome::readDone, 900);
+    d.end(id, Outcome::served);
+  }
+  for (const auto& [at, action] : d.log) EXPECT_FALSE(std::holds_alternative<Log>(action));
+}
+
+// Rule 2 holds for them too: an unsafe write on such a connection may have run.
+TEST(KeptConnections, ThatBreakUnderAnUnsafeWriteEndIt) {
+  Driver d(settings());
+  d.list(fleet());
+  d.give(d.request(1, kUnsafe));
+  d.end(1, Outcome::readDone);
+  AttemptEnded broken{.id = {1}, .attempt = 1, .server = {d.sentTo(1)}, .outcome = Outcome::reset};
+  broken.keptConnection = true;
+  d.give(broken);
+  EXPECT_EQ(d.count<Send>(1), 2);
+  EXPECT_EQ(d.count<Refuse>(1), 0);
+  EXPECT_EQ(d.count<Fail>(1), 1);
+}
+
+// A server that turns away after long thought costs more time than a queue; one that does so at once does
+// not.
+TEST(TurnedAway, SlowlyIsAvoidedQuicklyIsNot) {
+  const auto sharePast = [](Micros thought) {
+    Driver d(settings());
+    d.list({server(1, kReader), server(2, kReader), server(11, kWriter)});
+    int there = 0;
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+      auto ask = d.request(id);
+      ask.sharedBeginning = {id};
+      d.give(ask);
+      if (d.sentTo(id) == 1) {
+        there += id > 100;
+        d.pass(thought);
+        d.end(id, Outcome::full);
+      }
+      d.pass(10 * kMs);
+      d.end(id, Outcome::readDone);
+      d.end(id, Outcome::served);
+      d.pass(60 * kMs);
+    }
+    return there;
+  };
+  const int quick = sharePast(kMs);
+  EXPECT_GT(quick, 25);
+  EXPECT_LT(sharePast(400 * kMs), quick / 2);
+}
+
 TEST(Connects, RefusedOnesMakeASuspectAtOnce) {
   Driver d(settings());
   d.list(fleet());
