--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -66,7 +66,7 @@
 constexpr double kFirstLife = 2;  // aims: how long a writer's latest first tokens count
 // A server from which nothing came since an attempt was sent is quiet after this much of its time-out.
 constexpr double kQuietShare = 0.4;
-constexpr int kOvertaken = 2;  // attempts that passed one by before it counts as lost
+constexpr double kOvertaken = 2;  // size of what passed one by, over its own, before it counts as lost
 // Suspicion: points that make a suspect, their life, what each symptom counts, and the wait for a trial.
 constexpr double kSuspect = 1;
 constexpr double kStrikeLife = 5e6;
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -29,7 +29,7 @@
   Micros startedAt = 0;
   bool trial = false;
   double size = 0;    // tokens to be read anew, or to be held
-  int overtaken = 0;  // attempts of its stage and at least its size, sent there later, that had their sign
+  double overtaken = 0;  // size of attempts of its stage, sent there later, that had their sign, over its own
 };
 
 // Attempts by request, in order of ids. They are gone through far more often than they change, so they lie
@@ -54,7 +54,8 @@
   }
   void overtake(const Flight& by) {
     for (auto& [id, f] : items_)
-      if (f.stage == by.stage && f.sentAt < by.sentAt && f.size <= by.size) ++f.overtaken;
+      if (f.stage == by.stage && f.sentAt < by.sentAt)
+        f.overtaken += std::min(1.0, std::max(1.0, by.size) / std::max(1.0, f.size));
   }
   void erase(RequestId id) {
     const auto at = place(id);
