--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -547,7 +547,8 @@
   }
 
   // The time that being turned away is likely to take at a server, once and again, before it lets one in.
-  // Guards against servers that turn away slowly without a load that tells: where it is quick it costs nothing.
+  // Guards against servers that turn away slowly and show no load; where it is quick it costs next to
+  // nothing.
   double refusal(const Server& s) const {
     const double share = s.turnedAway * freshness(s.turnedAt, kTurnedLife);
     return s.turnedTime * share / std::max(kTurnedLeast, 1 - share);
@@ -624,7 +625,9 @@
   const Server* pickWriter(const Request& r, std::uint64_t cell, double limit) const {
     const auto list = candidates(r, Role::writer);
     const auto mixed = candidates(r, Role::both);
-    const auto score = [&](const Server& s) { return fill(s, tokensHeld(r, s)) * speed(s) + refusal(s) / aim_; };
+    const auto score = [&](const Server& s) {
+      return fill(s, tokensHeld(r, s)) * speed(s) + refusal(s) / aim_;
+    };
     for (const bool near : {true, false})
       for (const auto* group : {&list, &mixed}) {
         auto part = *group;
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -28,7 +28,7 @@
   bool started = false;
   Micros startedAt = 0;
   bool trial = false;
-  double size = 0;    // tokens to be read anew, or to be held
+  double size = 0;       // tokens to be read anew, or to be held
   double overtaken = 0;  // size of attempts of its stage, sent there later, that had their sign, over its own
 };
 
--- a/src/platform/discovery/watch_policy.h
+++ b/src/platform/discovery/watch_policy.h
@@ -13,8 +13,8 @@
     Micros connectWithin = 1'000'000;
     Micros firstPause = 50'000;
     Micros longestPause = 500'000;
-    // A live watch has an empty line every 2 s; one that has missed it is dead, or discovery is down. A new watch
-    // costs one connection to this machine and brings at once whatever the agent has.
+    // A live watch has an empty line every 2 s; one that has missed it is dead, or discovery is down. A new
+    // watch costs one connection to this machine and brings at once whatever the agent has.
     Micros silence = 2'400'000;
   };
   explicit WatchPolicy(const Options& options) : options_(options) {}
--- a/tests/fuzz/codecs.cpp
+++ b/tests/fuzz/codecs.cpp
@@ -12,6 +12,9 @@
 #include "http1/message.h"
 #include "http2/connection.h"
 #include "membership/engine_list.h"
+#include "platform/discovery/target_list.h"
+#include "platform/engine/relay_exchange.h"
+#include "platform/front/intake.h"
 
 namespace {
 
@@ -129,12 +132,84 @@
   engine::failedAnswer(500, in);
 }
 
+struct Relayed final : routing::EngineEvents {
+  void onTokens(routing::AttemptId, std::string_view text, std::uint32_t,
+                std::span<const std::uint32_t>) override {
+    require(ends == 0);
+    trace += text;
+  }
+  void onAttemptEnded(routing::AttemptId, const routing::AttemptResult& r) override {
+    ++ends;
+    trace += "|" + std::to_string(static_cast<int>(r.outcome));
+  }
+  void onProbeEnded(ServerId, bool, const std::optional<LoadReport>&) override {}
+  void onReleaseEnded(ServerId, RequestId, bool) override {}
+  std::string trace;
+  int ends = 0;
+};
+
+struct ToExchange final : http1::MessageEvents {
+  explicit ToExchange(engine::Exchange& e) : exchange(e) {}
+  void onHead(const http1::Head& h) override { exchange.onHead(h); }
+  void onBody(std::string_view o) override { exchange.onBody(o); }
+  void onEnd() override { exchange.onEnd(); }
+  engine::Exchange& exchange;
+};
+
+// An engine's answer, whole or octet by octet: the same events reach the client, and one end at most.
+void relayTarget(std::string_view in, routing::Job job) {
+  const provision::ReportMeanings meanings{"share_of_memory", "thousands_of_prompt_tokens"};
+  std::string traces[2];
+  for (const bool pieces : {false, true}) {
+    Relayed heard;
+    platform::RelayExchange relay(heard, {}, job, meanings);
+    ToExchange events(relay);
+    http1::MessageParser parser(http1::MessageParser::Kind::response, {}, events);
+    bool good = true;
+    if (pieces)
+      for (std::size_t i = 0; i < in.size() && good; ++i) good = parser.receive(in.substr(i, 1));
+    else
+      good = parser.receive(in);
+    relay.onFailed(Outcome::reset, "", false);
+    require(heard.ends == 1);
+    traces[pieces ? 1 : 0] = heard.trace;
+  }
+  require(traces[0] == traces[1]);
+}
+
+// A client's request, and discovery's lists.
+void platformTarget(std::string_view in) {
+  try {
+    platform::TargetList list;
+    list.apply(platform::parseTargets(in));
+    for (const auto& [name, e] : list.engines()) require(name == e.name && e.state != ServerState::gone);
+  } catch (const std::runtime_error&) {}
+  platform::parseReport(in, {"share_of_memory", ""});
+  require(platform::cachedTokens(in) >= 0);
+  struct Events final : http1::MessageEvents {
+    void onHead(const http1::Head& h) override { head = h; }
+    void onBody(std::string_view o) override { body += o; }
+    void onEnd() override {
+      provision::Provision p;
+      p.classNames = {"chat"};
+      const auto out = platform::readRequest(head, std::exchange(body, {}), p);
+      if (const auto* ask = std::get_if<routing::Ask>(&out))
+        require(!ask->workId.empty() && ask->remaining > 0 && ask->promptTokens >= 0 &&
+                ask->sharedTokens <= ask->promptTokens && ask->body && ask->requestClass == 0);
+    }
+    http1::Head head;
+    std::string body;
+  } events;
+  http1::MessageParser parser(http1::MessageParser::Kind::request, {}, events);
+  parser.receive(in);
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   if (size == 0) return 0;
   const std::string_view in(reinterpret_cast<const char*>(data) + 1, size - 1);
-  switch (data[0] % 8) {
+  switch (data[0] % 11) {
     case 0: http2Target(in, true); break;
     case 1: http2Target(in, false); break;
     case 2: hpackTarget(in); break;
@@ -142,6 +217,9 @@
     case 4: http1Target(in, http1::MessageParser::Kind::request); break;
     case 5: eventTarget(in); break;
     case 6: grpcTarget(in); break;
+    case 7: relayTarget(in, routing::Job::write); break;
+    case 8: relayTarget(in, routing::Job::read); break;
+    case 9: platformTarget(in); break;
     default: jsonTarget(in); break;
   }
   return 0;
@@ -169,9 +247,20 @@
                                 "{\"name\":\"a\",\"address\":\"127.0.0.1:80\",\"kind\":\"k\"}",
                                 "]}",
                                 "// c\n",
+                                "HTTP/1.1 202 Accepted\r\n",
+                                "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\n",
+                                "Endpoint-Load-Metrics: TEXT x0=0.5, x1=2\r\n",
+                                "f\r\ndata: {\"a\":1}\n\n\r\n",
+                                "data: {\"usage\":{\"cached_tokens\":7}}\n\n",
+                                ": Endpoint-Load-Metrics: TEXT x0=1\n\n",
+                                "POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: a\r\nX-Qos: chat\r\n",
+                                "X-Expires-In-Ms: 30\r\nX-Props: prompt_len=4,prefix_len=9\r\n",
+                                "Content-Length: 2\r\n\r\n{}",
+                                "{\"revision\":1,\"complete\":true,\"members\":[",
+                                "{\"id\":\"a\",\"host_port\":\"h:1\",\"phase\":\"ready\"}",
                                 "1e999"};
   for (int i = 0; i < runs; ++i) {
-    std::string in(1, static_cast<char>(random() % 8));
+    std::string in(1, static_cast<char>(random() % 11));
     for (auto n = random() % 12; n > 0; --n) in += pieces[random() % std::size(pieces)];
     for (auto n = random() % 4; n > 0 && in.size() > 1; --n)
       in[1 + random() % (in.size() - 1)] = static_cast<char>(random());
