Names of outcomes and of servers in module texts stand once; a silent watch tested

Need: the same two functions stood in platform/node and in server; the mend of the watch's silence had no test of its own. Change: routing::name(Outcome) and routing::withNames(), used by both; a path test with a discovery that has no beat.

--- a/src/platform/node/node.cpp
+++ b/src/platform/node/node.cpp
@@ -10,21 +10,6 @@
 constexpr Micros kReportEvery = 5'000'000;
 constexpr Micros kDrainLook = 20'000;
 
-std::string_view text(Outcome outcome) {
-  switch (outcome) {
-    case Outcome::served: return "served";
-    case Outcome::readDone: return "read";
-    case Outcome::error: return "error";
-    case Outcome::full: return "full";
-    case Outcome::timedOut: return "timed out";
-    case Outcome::connectFailed: return "no connection";
-    case Outcome::reset: return "reset";
-    case Outcome::cancelled: return "cancelled";
-    case Outcome::notSent: return "ended here";
-  }
-  return "";
-}
-
 // Resident memory in octets, as the system tells it; 0 where it does not.
 std::uint64_t resident() {
   std::uint64_t pages = 0;
@@ -182,7 +167,7 @@
   for (const auto& [cause, n] : c.causes) out += " " + std::string(name(cause)) + " " + std::to_string(n);
   out += "; outcomes";
   for (const auto& [outcome, n] : c.outcomes)
-    out += " " + std::string(text(outcome)) + " " + std::to_string(n);
+    out += " " + std::string(routing::name(outcome)) + " " + std::to_string(n);
   out += "; held " + std::to_string(h.held()) + ", releasing " + std::to_string(h.releasing()) +
          ", released " + std::to_string(h.released()) + ", given up " + std::to_string(h.abandoned()) +
          ", slowest ms " + std::to_string(h.slowest() / 1000);
@@ -215,7 +200,7 @@
   log_.debug("attempt-ended", {{"request", id.request.value},
                                {"number", id.number},
                                {"engine", nameOf(server)},
-                               {"outcome", text(result.outcome)},
+                               {"outcome", routing::name(result.outcome)},
                                {"found", result.foundTokens},
                                {"text", result.text}});
 }
@@ -244,16 +229,7 @@
 }
 
 void Node::onModuleLog(const std::string& said) {
-  // The module names servers by number.
-  std::string out;
-  for (std::size_t at = 0; at < said.size();) {
-    const auto end = std::min(said.find(' ', at), said.size());
-    const std::string word = said.substr(at, end - at);
-    const bool number = word.size() > 9 && word.find_first_not_of("0123456789") == std::string::npos;
-    out += (out.empty() ? "" : " ") + (number ? nameOf({std::stoull(word)}) : word);
-    at = end + 1;
-  }
-  log_.info("decision", {{"text", out}});
+  log_.info("decision", {{"text", routing::withNames(said, [this](ServerId id) { return nameOf(id); })}});
 }
 
 }  // namespace garnethook::platform
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cmath>
 #include <utility>
 
@@ -32,6 +33,26 @@
 
 std::string_view name(Job job) { return job == Job::read ? "read" : job == Job::write ? "write" : "whole"; }
 
+std::string_view name(Outcome outcome) {
+  constexpr std::array<std::string_view, 9> names{
+      "served", "read", "error", "full", "timed out", "no connection", "reset", "cancelled", "ended here"};
+  return names[static_cast<std::size_t>(outcome)];
+}
+
+std::string withNames(std::string_view said, const std::function<std::string(ServerId)>& nameOf) {
+  std::string out;
+  for (std::size_t at = 0; at < said.size();) {
+    const auto end = std::min(said.find(' ', at), said.size());
+    const auto word = said.substr(at, end - at);
+    std::uint64_t number = 0;
+    const auto [last, bad] = std::from_chars(word.data(), word.data() + word.size(), number);
+    const bool id = word.size() > 9 && bad == std::errc() && last == word.data() + word.size();
+    out.append(out.empty() ? "" : " ").append(id ? nameOf({number}) : std::string(word));
+    at = end + 1;
+  }
+  return out;
+}
+
 Router::Router(const Options& options, timing::Timers& timers, Engines& engines, Observer& observer)
     : options_(options),
       timers_(timers),
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -82,6 +83,10 @@
   Usage usage{};
 };
 
+std::string_view name(Outcome outcome);
+// What the module said, with the names of servers in place of the numbers that it knows them by.
+std::string withNames(std::string_view said, const std::function<std::string(ServerId)>& nameOf);
+
 // The client's end of a request, owned by a front.
 class Client {
  public:
--- a/src/server/router_server.cpp
+++ b/src/server/router_server.cpp
@@ -8,21 +8,6 @@
 
 using log::Log;
 
-std::string_view text(Outcome outcome) {
-  switch (outcome) {
-    case Outcome::served: return "served";
-    case Outcome::readDone: return "read";
-    case Outcome::error: return "error";
-    case Outcome::full: return "full";
-    case Outcome::timedOut: return "timed out";
-    case Outcome::connectFailed: return "no connection";
-    case Outcome::reset: return "reset";
-    case Outcome::cancelled: return "cancelled";
-    case Outcome::notSent: return "ended here";
-  }
-  return "";
-}
-
 std::string rememberedPath(const std::string& folder) {
   return folder.empty() ? std::string() : folder + "/engines.last.json";
 }
@@ -124,7 +109,7 @@
   const Log::Fields fields{{"request", id.request.value},
                            {"number", id.number},
                            {"engine", nameOf(server)},
-                           {"outcome", text(result.outcome)},
+                           {"outcome", routing::name(result.outcome)},
                            {"text", result.text}};
   if (good)
     log_.debug("attempt-ended", fields);
@@ -160,16 +145,7 @@
 }
 
 void RouterServer::onModuleLog(const std::string& said) {
-  // The module names servers by number.
-  std::string out;
-  for (std::size_t at = 0; at < said.size();) {
-    const auto end = std::min(said.find(' ', at), said.size());
-    const std::string word = said.substr(at, end - at);
-    const bool number = word.size() > 9 && word.find_first_not_of("0123456789") == std::string::npos;
-    out += (out.empty() ? "" : " ") + (number ? nameOf({std::stoull(word)}) : word);
-    at = end + 1;
-  }
-  log_.info("decision", {{"text", out}});
+  log_.info("decision", {{"text", routing::withNames(said, [this](ServerId id) { return nameOf(id); })}});
 }
 
 void RouterServer::onDecision(Micros now, const Event& event, const std::vector<Action>& actions) {
--- a/tests/path/platform_path_test.cpp
+++ b/tests/path/platform_path_test.cpp
@@ -269,6 +269,13 @@
   EXPECT_NE(w.watches[1].first.find("stream=1&index=1"), std::string::npos);
 }
 
+// The test's discovery has no beat, as one whose connection died in silence.
+TEST_F(PlatformPath, AWatchThatMissesItsBeatIsBegunAnew) {
+  ASSERT_EQ(w.watches.size(), 1u);
+  EXPECT_TRUE(w.until([&] { return w.watches.size() >= 2; }, 3'000'000));
+  EXPECT_EQ(w.node->list().engines().size(), 2u);
+}
+
 TEST_F(PlatformPath, AReloadMovesTheWatchAndKeepsWhatIsServed) {
   std::vector<std::pair<std::string, std::shared_ptr<standin::HttpReply>>> others;
   auto other = w.makeDiscovery(others);
