--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -188,6 +188,34 @@
   EXPECT_LT(slow, quick / 4);
 }
 
+// Not even what is cached there is worth it.
+TEST(TurnedAway, SlowlyIsAvoidedWhereThePromptIsCachedToo) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(2, kReader), server(11, kWriter)});
+  std::vector<std::uint64_t> there;  // sessions that reader 1 has
+  for (std::uint64_t id = 1; id <= 40; ++id)
+    if (d.run(d.request(id)) == 1) there.push_back(id);
+  ASSERT_GE(there.size(), 10u);
+  there.erase(there.begin(), there.end() - 10);
+  int again = 0;
+  for (const auto session : there) {
+    const std::uint64_t id = 100 + session;
+    auto ask = d.request(id);
+    ask.session = {session + 1000};
+    d.give(ask);
+    if (d.sentTo(id) == 1) {
+      ++again;
+      d.pass(300 * kMs);
+      d.end(id, Outcome::full);
+    }
+    d.pass(10 * kMs);
+    d.end(id, Outcome::readDone);
+    d.end(id, Outcome::served);
+    d.pass(200 * kMs);  // it may be full no longer
+  }
+  EXPECT_LE(again, 5);
+}
+
 TEST(Connects, RefusedOnesMakeASuspectAtOnce) {
   Driver d(settings());
   d.list(fleet());
