Full sockets are waited for; the loop no longer spins; ends lose nothing

Seen: a test that sends more than a socket takes lost the whole connection: POCO 1.11.0's sendBytes throws "Operation would block" on a full non-blocking socket (probe: 4 MB sent, then the exception, errno 11), which Stream::flush and trySend took for a reset. Traced: 135,000 turns of the loop without any handler called. removeEventHandler leaves the readiness of the removed handler in the poll set while another handler of the socket stands, so the loop spun on "writable" until the connection ended. Ruled out: writes that make no progress (two EAGAIN in all). What waited before a connection came up and did not fit was never sent on, either: the writing handler was taken down after the first piece.

Change: Stream writes by send(2) and tells "full" from "broken"; all handlers of a socket go before the wanted ones come; finishSending() shuts down after the last byte and reads on until the peer closes; peerGone() asks the system whether the peer has closed, also before that is read.

Measured: tests/path/stream_test.cpp, five tests, of which the first three fail without the change.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -3,6 +3,7 @@
 #include <Poco/NObserver.h>
 #include <Poco/Net/SocketImpl.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -50,30 +51,25 @@
   close();
 }
 
-void Stream::watchReading(bool on) {
-  if (reading_ == on) return;
-  reading_ = on;
-  const Poco::NObserver<Stream, ReadableNotification> observer(*this, &Stream::onReadable);
-  if (on)
-    loop_.reactor().addEventHandler(socket_, observer);
-  else
-    loop_.reactor().removeEventHandler(socket_, observer);
-}
-
-void Stream::watchWriting(bool on) {
-  if (writing_ == on) return;
-  writing_ = on;
-  const Poco::NObserver<Stream, WritableNotification> observer(*this, &Stream::onWritable);
+// All handlers go before those that are wanted come: the reactor (POCO 1.11.0) asks the system for readiness
+// that a removed handler wanted for as long as another one of the socket stands, and then spins on it.
+void Stream::watch(bool reading, bool writing) {
+  if (reading_ == reading && writing_ == writing) return;
+  const Poco::NObserver<Stream, ReadableNotification> read(*this, &Stream::onReadable);
+  const Poco::NObserver<Stream, WritableNotification> write(*this, &Stream::onWritable);
   const Poco::NObserver<Stream, ErrorNotification> failure(*this, &Stream::onError);
-  if (on) {
-    loop_.reactor().addEventHandler(socket_, observer);
-    if (!connected_) loop_.reactor().addEventHandler(socket_, failure);
-  } else {
-    loop_.reactor().removeEventHandler(socket_, observer);
-    if (loop_.reactor().hasEventHandler(socket_, failure))
-      loop_.reactor().removeEventHandler(socket_, failure);
-  }
+  auto& reactor = loop_.reactor();
+  if (reading_) reactor.removeEventHandler(socket_, read);
+  if (writing_) reactor.removeEventHandler(socket_, write);
+  if (reactor.hasEventHandler(socket_, failure)) reactor.removeEventHandler(socket_, failure);
+  reading_ = reading;
+  writing_ = writing;
+  if (reading_) reactor.addEventHandler(socket_, read);
+  if (writing_) reactor.addEventHandler(socket_, write);
+  if (writing_ && !connected_) reactor.addEventHandler(socket_, failure);
 }
+void Stream::watchReading(bool on) { watch(on, writing_); }
+void Stream::watchWriting(bool on) { watch(reading_, on); }
 
 void Stream::pauseReading(bool paused) {
   if (open_ && connected_ && !closing_) watchReading(!paused);
@@ -86,6 +82,16 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Stream::peerGone() const {
+  if (!open_) return true;
+  if (!connected_) return false;
+  pollfd look{socket_.impl()->sockfd(), POLLRDHUP, 0};
+  if (::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return true;
+  char octet = 0;
+  const auto n = ::recv(socket_.impl()->sockfd(), &octet, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void Stream::onError(const Poco::AutoPtr<ErrorNotification>&) {
   if (open_ && !connected_) over(CloseCause::refused);
 }
@@ -114,34 +120,34 @@
     if (error != 0) return over(error == ETIMEDOUT ? CloseCause::timedOut : CloseCause::refused);
     connectAlarm_.stop();
     connected_ = true;
-    watchWriting(false);
-    watchReading(true);
+    watch(true, false);
     events_.onConnected();
     if (!*alive || !open_) return;
   }
   flush();
-  if (!*alive || !open_ || pending() > 0) return;
+  if (!*alive || !open_) return;
+  if (pending() > 0) return watchWriting(true);
   watchWriting(false);
   if (closing_) return over(CloseCause::local);
+  shutdownIfSent();
   if (std::exchange(wantDrained_, false)) events_.onDrained();
 }
 
 std::size_t Stream::trySend(std::string_view octets) {
-  if (!open_ || closing_ || octets.empty()) return 0;
+  if (!open_ || closing_ || finishing_ || octets.empty()) return 0;
   if (!connected_ || pending() > 0) {
     wantDrained_ = true;
     return 0;
   }
   std::size_t done = 0;
-  try {
-    while (done < octets.size()) {
-      const int n = socket_.sendBytes(octets.data() + done, static_cast<int>(octets.size() - done));
-      if (n <= 0) break;
-      done += static_cast<std::size_t>(n);
+  while (done < octets.size()) {
+    const auto n = write(octets.substr(done));
+    if (!n) {
+      failLater(CloseCause::reset);
+      return octets.size();
     }
-  } catch (const Poco::Exception&) {
-    failLater(CloseCause::reset);
-    return octets.size();
+    if (*n == 0) break;
+    done += *n;
   }
   if (done < octets.size()) {
     wantDrained_ = true;
@@ -151,25 +157,33 @@
 }
 
 void Stream::send(std::string_view octets) {
-  if (!open_ || closing_) return;
+  if (!open_ || closing_ || finishing_) return;
   out_.append(octets);
   if (connected_) flush();
   if (open_ && connected_ && pending() > 0) watchWriting(true);
 }
 
+// As much as the socket takes, 0 where it is full; nothing where the connection is broken. POCO's sendBytes
+// (1.11.0) throws where a non-blocking socket is full, as if it were broken.
+std::optional<std::size_t> Stream::write(std::string_view octets) {
+  const auto n = ::send(socket_.impl()->sockfd(), octets.data(),
+                        std::min<std::size_t>(octets.size(), 1 << 20), MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (n >= 0) return static_cast<std::size_t>(n);
+  if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) return 0;
+  return std::nullopt;
+}
+
 void Stream::flush() {
-  try {
-    while (pending() > 0) {
-      const int n = socket_.sendBytes(out_.data() + outAt_,
-                                      static_cast<int>(std::min<std::size_t>(pending(), 1 << 20)));
-      if (n <= 0) break;
-      outAt_ += static_cast<std::size_t>(n);
+  while (pending() > 0) {
+    const auto n = write(std::string_view(out_).substr(outAt_));
+    if (!n) {
+      unsent_ = pending();
+      out_.clear();
+      outAt_ = 0;
+      return failLater(CloseCause::reset);
     }
-  } catch (const Poco::Exception&) {
-    unsent_ = pending();
-    out_.clear();
-    outAt_ = 0;
-    return failLater(CloseCause::reset);
+    if (*n == 0) break;
+    outAt_ += *n;
   }
   if (pending() == 0) {
     out_.clear();
@@ -200,8 +214,7 @@
   unsent_ = std::max(unsent_, pending());
   connectAlarm_.stop();
   closeAlarm_.stop();
-  watchReading(false);
-  watchWriting(false);
+  watch(false, false);
   try {
     if (abort) socket_.setLinger(true, 0);
     socket_.close();
@@ -222,6 +235,20 @@
   closeAlarm_.start(limit, [this] { over(CloseCause::local); });
 }
 
+void Stream::finishSending() {
+  if (!open_ || closing_ || std::exchange(finishing_, true)) return;
+  watchReading(connected_);
+  shutdownIfSent();
+}
+
+void Stream::shutdownIfSent() {
+  if (!finishing_ || !open_ || !connected_ || pending() > 0) return;
+  try {
+    socket_.shutdownSend();
+  } catch (const Poco::Exception&) {  // the peer is gone already, which reading tells
+  }
+}
+
 Listener::Listener(Loop& loop, const Poco::Net::SocketAddress& address, Accept accept)
     : loop_(loop), accept_(std::move(accept)), retry_(loop) {
   try {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -61,17 +62,26 @@
   void close(bool abort = false);
   // Closes once what is pending went out, or after `limit`.
   void closeAfterSending(Micros limit);
+  // Takes no more to send; once what is pending went out the peer is told that nothing follows (FIN). Reading
+  // goes on: a close over unread octets would reset the connection, and take with it what the peer has not
+  // read yet. onClosed tells when the peer has closed too; the owner bounds how long that may take.
+  void finishSending();
+  // Whether the peer has closed or reset the connection, also where that was not read yet: asks the system.
+  bool peerGone() const;
   std::string peerHost() const { return peerHost_; }
 
  private:
   void onReadable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
   void onWritable(const Poco::AutoPtr<Poco::Net::WritableNotification>&);
   void onError(const Poco::AutoPtr<Poco::Net::ErrorNotification>&);
+  void watch(bool reading, bool writing);
   void watchReading(bool on);
   void watchWriting(bool on);
   void flush();
+  std::optional<std::size_t> write(std::string_view octets);
   void over(CloseCause cause);
   void failLater(CloseCause cause);
+  void shutdownIfSent();
 
   Loop& loop_;
   Poco::Net::StreamSocket socket_;
@@ -87,6 +97,7 @@
   bool reading_ = false;
   bool writing_ = false;
   bool closing_ = false;
+  bool finishing_ = false;
   bool wantDrained_ = false;
   bool failing_ = false;
   std::string peerHost_;
--- /dev/null
+++ b/tests/path/stream_test.cpp
@@ -0,0 +1,120 @@
+// Streams on loopback: full sockets, and ends that lose nothing.
+#include "net/stream.h"
+
+#include <gtest/gtest.h>
+
+#include <ctime>
+
+#include "support/loop_runner.h"
+
+namespace garnethook::test {
+namespace {
+
+using net::CloseCause;
+using net::Stream;
+
+struct Peer final : net::StreamEvents {
+  void onOctets(std::string_view octets) override { got += octets; }
+  void onDrained() override { ++drained; }
+  void onClosed(CloseCause c) override { cause = c; }
+  std::string got;
+  int drained = 0;
+  std::optional<CloseCause> cause;
+  std::unique_ptr<Stream> stream;
+};
+
+struct StreamTest : testing::Test, LoopRunner {
+  StreamTest()
+      : listener(loop, Poco::Net::SocketAddress("127.0.0.1", 0), [this](auto socket) {
+          there.stream = std::make_unique<Stream>(loop, std::move(socket), there);
+        }) {
+    here.stream = std::make_unique<Stream>(loop, listener.address(), "", 1'000'000, here);
+    EXPECT_TRUE(until([&] { return here.stream->connected() && there.stream; }, 1'000'000));
+  }
+  ~StreamTest() override { stopLoop(); }
+  Peer here;
+  Peer there;
+  net::Listener listener;
+};
+
+// A socket that is full was taken for a broken one, and every client that read slowly lost its answer.
+TEST_F(StreamTest, AFullSocketIsWaitedFor) {
+  const std::string much(12u << 20, 'x');
+  here.stream->pauseReading(true);
+  there.stream->send(much);
+  pass(100'000);
+  EXPECT_GT(there.stream->pending(), 0u);  // the socket is full
+  EXPECT_FALSE(there.cause);
+  here.stream->pauseReading(false);
+  EXPECT_TRUE(until([&] { return here.got.size() == much.size(); }, 5'000'000)) << here.got.size();
+  EXPECT_FALSE(there.cause);
+}
+
+// Processor time of this process over a while of nothing to do, as a share of it.
+double busyShare(LoopRunner& runner) {
+  constexpr net::Micros kWhile = 400'000;
+  const std::clock_t before = std::clock();
+  runner.pass(kWhile);
+  return static_cast<double>(std::clock() - before) * 1e6 / CLOCKS_PER_SEC / static_cast<double>(kWhile);
+}
+
+// Once a socket had been full, the loop spun on its readiness for as long as the connection stood.
+TEST_F(StreamTest, ALoopIsAtRestOnceAFullSocketIsDrained) {
+  const std::string much(12u << 20, 'x');
+  there.stream->send(much);
+  ASSERT_TRUE(until([&] { return here.got.size() == much.size(); }, 5'000'000));
+  EXPECT_LT(busyShare(*this), 0.5);
+  here.stream->send(much);  // unread octets and a full socket on one side
+  there.stream->send(much);
+  there.stream->pauseReading(true);
+  here.stream->pauseReading(true);
+  pass(100'000);
+  EXPECT_LT(busyShare(*this), 0.5);
+  EXPECT_FALSE(here.cause || there.cause);
+}
+
+TEST_F(StreamTest, WhatIsTriedStopsAtAFullSocketAndGoesOnOnceItIsDrained) {
+  const std::string much(12u << 20, 'x');
+  here.stream->pauseReading(true);
+  const auto first = there.stream->trySend(much);
+  EXPECT_GT(first, 0u);
+  ASSERT_LT(first, much.size());
+  pass(50'000);
+  EXPECT_EQ(there.drained, 0);
+  here.stream->pauseReading(false);
+  EXPECT_TRUE(until([&] { return there.drained == 1; }, 2'000'000));
+  EXPECT_FALSE(there.cause);
+}
+
+TEST_F(StreamTest, AnEndedSideSendsAllThatWaitsAndReadsOnUntilThePeerCloses) {
+  const std::string much(12u << 20, 'x');
+  here.stream->pauseReading(true);
+  there.stream->send(much);
+  there.stream->finishSending();
+  there.stream->send("nothing follows the end");
+  here.stream->send("behind the end");
+  pass(50'000);
+  EXPECT_EQ(there.got, "behind the end");
+  EXPECT_FALSE(there.cause);
+  here.stream->pauseReading(false);
+  ASSERT_TRUE(until([&] { return here.cause.has_value(); }, 5'000'000));
+  EXPECT_EQ(here.cause, CloseCause::peerClosed);  // no reset
+  EXPECT_EQ(here.got.size(), much.size());
+  ASSERT_TRUE(until([&] { return there.cause.has_value(); }, 1'000'000));
+  EXPECT_EQ(there.cause, CloseCause::peerClosed);
+}
+
+TEST_F(StreamTest, APeersCloseShowsBeforeItIsRead) {
+  EXPECT_FALSE(there.stream->peerGone());
+  there.stream->pauseReading(true);
+  here.stream->send("unread");
+  pass(20'000);
+  EXPECT_FALSE(there.stream->peerGone());
+  here.stream->close();
+  pass(20'000);
+  EXPECT_TRUE(there.stream->peerGone());
+  EXPECT_FALSE(there.cause);
+}
+
+}  // namespace
+}  // namespace garnethook::test
