Lists are cut by their braces; the watch's policy keeps its own time

The watch cut its stream at line ends, so none of an indented list's lines was a list, and the change went unheard: LineSplitter and Watch::line. A list cut short would with braces swallow those behind it, so it must be whole within 4.8 s or the watch is begun anew.

--- a/src/platform/discovery/watch.cpp
+++ b/src/platform/discovery/watch.cpp
@@ -1,19 +1,20 @@
 #include "platform/discovery/watch.h"
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
 namespace garnethook::platform {
 namespace {
 
-constexpr std::size_t kLongestLine = 4u << 20;
-// A watch has no end, so its body has no bound; its lines do.
+constexpr std::size_t kLongestList = 4u << 20;
+// A watch has no end, so its body has no bound; its lists do.
 constexpr http1::MessageLimits kLimits{.headBytes = 16 * 1024, .bodyBytes = std::size_t{1} << 60};
 
 }  // namespace
 
 Watch::Watch(net::Loop& loop, const std::string& address, Events events)
-    : loop_(loop), address_(address), events_(std::move(events)), lines_(kLongestLine), alarm_(loop) {
+    : loop_(loop), address_(address), events_(std::move(events)), lists_(kLongestList), alarm_(loop) {
   begin();
 }
 
@@ -22,26 +23,36 @@
 void Watch::move(const std::string& address) {
   if (address == address_) return;
   address_ = address;
-  policy_.heard();
+  policy_.moved();
   begin();
 }
 
+// The one timer: the watch is given up, or begun anew.
+void Watch::plan() {
+  alarm_.start(std::max<Micros>(0, policy_.due() - loop_.now()), [this] {
+    if (policy_.next() == WatchPolicy::Step::begin) return begin();
+    end(lists_.midway() ? "a list that does not end" : "silent");
+  });
+}
+
 void Watch::begin() {
   over_.clear();
-  lines_.clear();
+  lists_.clear();
   parser_ = std::make_unique<http1::MessageParser>(http1::MessageParser::Kind::response, kLimits,
                                                    static_cast<http1::MessageEvents&>(*this));
   stream_ =
       std::make_unique<net::Stream>(loop_, Poco::Net::SocketAddress(address_), std::string(),
                                     policy_.options().connectWithin, static_cast<net::StreamEvents&>(*this));
-  alarm_.start(policy_.options().silence, [this] { end("silent"); });
+  policy_.begun(loop_.now());
+  plan();
 }
 
 // The stream may be the one that calls, so it goes with the next begin(), which comes by the timer.
 void Watch::end(const std::string& why) {
   if (stream_) stream_->close();
   events_.trouble(address_ + ": " + why);
-  alarm_.start(policy_.ended(), [this] { begin(); });
+  policy_.ended(loop_.now());
+  plan();
 }
 
 void Watch::onConnected() {
@@ -50,9 +61,9 @@
 }
 
 void Watch::onOctets(std::string_view octets) {
-  policy_.heard();
-  alarm_.start(policy_.options().silence, [this] { end("silent"); });
   if (!parser_->receive(octets)) return end("bad HTTP: " + std::string(parser_->error()));
+  policy_.heard(loop_.now(), lists_.midway());
+  plan();
   if (!over_.empty()) end(std::exchange(over_, {}));
 }
 
@@ -70,13 +81,12 @@
 
 void Watch::onBody(std::string_view octets) {
   if (!over_.empty()) return;
-  if (lines_.receive(octets, [this](std::string_view text) { line(text); })) return;
-  over_ = "a line is too long";
+  if (lists_.receive(octets, [this](std::string_view text) { list(text); })) return;
+  over_ = "a list is too long";
   parser_->stop();
 }
 
-void Watch::line(std::string_view text) {
-  if (text.empty()) return;
+void Watch::list(std::string_view text) {
   try {
     events_.update(parseTargets(text));
   } catch (const std::runtime_error& e) { events_.trouble(address_ + ": a list can't be used: " + e.what()); }
--- a/src/platform/discovery/watch.h
+++ b/src/platform/discovery/watch.h
@@ -1,5 +1,5 @@
-// The watch: a chunked answer of discovery's that stays open, one list a line. It is begun anew whenever it
-// ends, from the version that is known by then.
+// The watch: a chunked answer of discovery's that stays open, one list after another. It is begun anew
+// whenever it ends, from the version that is known by then.
 #pragma once
 
 #include <functional>
@@ -8,7 +8,7 @@
 
 #include "http1/message.h"
 #include "net/stream.h"
-#include "platform/discovery/line_splitter.h"
+#include "platform/discovery/object_splitter.h"
 #include "platform/discovery/target_list.h"
 #include "platform/discovery/watch_policy.h"
 
@@ -37,13 +37,14 @@
   void onHead(const http1::Head& head) override;
   void onBody(std::string_view octets) override;
   void onEnd() override { over_ = "the answer ended"; }
-  void line(std::string_view text);
+  void list(std::string_view text);
+  void plan();
 
   net::Loop& loop_;
   std::string address_;
   Events events_;
   WatchPolicy policy_;
-  LineSplitter lines_;
+  ObjectSplitter lists_;
   timing::Alarm alarm_;
   std::unique_ptr<http1::MessageParser> parser_;
   std::unique_ptr<net::Stream> stream_;
--- a/src/platform/discovery/watch_policy.h
+++ b/src/platform/discovery/watch_policy.h
@@ -1,7 +1,12 @@
-// When a watch that ended, or says nothing, is begun anew. Free of I/O and clocks.
+// When a watch is given up and when it is begun anew. Free of I/O and clocks; tested in tests/watch_test.cpp
+// over orders of silence, refusal, reset and return.
+//
+// What it must keep: a change counts as told 6 s after discovery had it and could be reached, whatever befell
+// the watch before.
 #pragma once
 
 #include <algorithm>
+#include <optional>
 
 #include "brain.h"
 
@@ -16,21 +21,50 @@
     // A live watch has an empty line every 2 s; one that has missed it is dead, or discovery is down. A new
     // watch costs one connection to this machine and brings at once whatever the agent has.
     Micros silence = 2'400'000;
+    // A list that has begun must be whole by then; one that was cut short would swallow those behind it, for
+    // as long as signs of life go on.
+    Micros listWithin = 4'800'000;
   };
+  enum class Step { begin, giveUp };
+
   explicit WatchPolicy(const Options& options) : options_(options) {}
   WatchPolicy() : WatchPolicy(Options{}) {}
 
   const Options& options() const { return options_; }
-  void heard() { failures_ = 0; }
-  // The pause before the next try.
-  Micros ended() {
-    const Micros pause = options_.firstPause << std::min(failures_, 10);
+  // A connection is tried from now on, whatever was open before.
+  void begun(Micros now) {
+    live_ = true;
+    listSince_.reset();
+    due_ = now + options_.silence;
+  }
+  // Something came on it; `midway`: its end lies within a list.
+  void heard(Micros now, bool midway) {
+    failures_ = 0;
+    if (!midway)
+      listSince_.reset();
+    else if (!listSince_)
+      listSince_ = now;
+    due_ = now + options_.silence;
+    if (listSince_) due_ = std::min(due_, *listSince_ + options_.listWithin);
+  }
+  // It ended, or was given up; the pause before the next try grows while nothing is heard.
+  void ended(Micros now) {
+    live_ = false;
+    due_ = now + std::min(options_.firstPause << std::min(failures_, 10), options_.longestPause);
     ++failures_;
-    return std::min(pause, options_.longestPause);
   }
+  // It is to follow another address, of which nothing bad is known.
+  void moved() { failures_ = 0; }
+
+  // What is to be done next, unless one of the above comes before, and when.
+  Step next() const { return live_ ? Step::giveUp : Step::begin; }
+  Micros due() const { return due_; }
 
  private:
   Options options_;
+  bool live_ = false;
+  Micros due_ = 0;
+  std::optional<Micros> listSince_;
   int failures_ = 0;
 };
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -5,9 +5,7 @@
 
 #include "engine/reuse_policy.h"
 #include "platform/config/platform_config.h"
-#include "platform/discovery/line_splitter.h"
 #include "platform/discovery/target_list.h"
-#include "platform/discovery/watch_policy.h"
 #include "platform/engine/protocol.h"
 #include "platform/engine/relay_exchange.h"
 #include "platform/engine/release_route.h"
@@ -150,29 +148,6 @@
   EXPECT_THROW(parseTargets(std::string(5000, '[')), std::runtime_error);
 }
 
-TEST(Lines, AreCutWhateverThePiecesAndBounded) {
-  const std::string text = "one\n\ntwo\r\nthree";
-  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
-    LineSplitter lines(10);
-    std::vector<std::string> got;
-    for (std::size_t at = 0; at < text.size(); at += piece)
-      EXPECT_TRUE(lines.receive(std::string_view(text).substr(at, piece),
-                                [&](std::string_view line) { got.emplace_back(line); }));
-    EXPECT_EQ(got, (std::vector<std::string>{"one", "", "two"}));
-  }
-  LineSplitter lines(10);
-  EXPECT_FALSE(lines.receive(std::string(11, 'x'), [](std::string_view) {}));
-}
-
-TEST(WatchPolicy, PausesGrowAndStartAnewOnceHeard) {
-  WatchPolicy policy;
-  const Micros first = policy.ended();
-  EXPECT_GT(policy.ended(), first);
-  for (int i = 0; i < 50; ++i) EXPECT_LE(policy.ended(), policy.options().longestPause);
-  policy.heard();
-  EXPECT_EQ(policy.ended(), first);
-}
-
 // ---- engines ----
 
 http1::Head head(int status, http1::Fields fields = {}) {
