A held state's time runs on while connections fail; nothing begins for the departed

A state is taken only when a request's last byte has reached an engine that runs, but Brain::on(AttemptEnded) began its time anew at each failed connection (r.stateSince = now_). Ruled out: slow releases (slowest 0 to 251 ms in the status lines of that time).

Change: the engine side tells how far an attempt has got (Reach); HeldStates keeps the time of what is held from the last attempt that reached an engine; the router ends an attempt without a connection when that time is over; the module is told whether an attempt had arrived, lets go of a state that outlived its time and reads the prompt anew. In the simulator every attempt arrives, so nothing changes there. Before each attempt the client is asked whether it has gone, as its close may wait behind other events of the same turn.

--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -684,7 +684,7 @@
   // Decides what comes next for a request with no attempt out.
   void advance(Request& r) {
     if (now_ >= r.deadline || r.attempts >= set_.maxAttempts || !mayTry(r)) return end(r, true);
-    if (r.stateAt) return write(r);
+    if (r.stateAt && !outlived(r)) return write(r);
     findHomes(r);
     if (takesWhole(r) && whole(r, Role::both)) return;
     if (const Server* reader = pickReader(r, Role::reader)) return read(r, *reader);
@@ -734,8 +734,19 @@
     return r.excess <= 0;
   }
 
+  Micros holdLimit() const { return set_.releaseWithin > 0 ? set_.releaseWithin : asMicros(aim_); }
+
+  // Whether a state's time is over, as writes that never arrived have used it up: it is let go, and the
+  // prompt read anew. Guards rule 5 where connections to writers fail one after another; harm: one more read.
+  bool outlived(Request& r) {
+    if (now_ - r.stateSince < holdLimit()) return false;
+    r.stateAt.reset();
+    out_->push_back(Release{r.ask.id});
+    return true;
+  }
+
   void write(Request& r) {
-    const Micros limit = set_.releaseWithin > 0 ? set_.releaseWithin : asMicros(aim_);
+    const Micros limit = holdLimit();
     const bool lastLook = asDouble(now_ - r.stateSince) >= kHoldShare * asDouble(limit);
     const Server* s = pickWriter(r, r.stateAt->cell, lastLook ? kAnyRoom : kRoom);
     if (s && !inScope(r, *s)) s = nullptr;
@@ -858,7 +869,7 @@
     s.waits.erase(r.ask.id);
     cuts_.clear();
     if (s.trial == r.ask.id) s.trial.reset();
-    r.stateSince = now_;
+    if (event.arrived) r.stateSince = now_;
     if (event.outcome == Outcome::readDone || event.outcome == Outcome::served)
       s.finished.emplace_back(now_, workOf(r));
     if (event.last) r.ended = true;
--- a/src/decision/brain.h
+++ b/src/decision/brain.h
@@ -143,6 +143,7 @@
   double foundTokens = 0;       // prompt tokens found kept (readDone, served)
   bool stateMissing = false;    // with full: there was no state to fetch
   bool keptConnection = false;  // with reset: an old connection broke without a sign; the server may be well
+  bool arrived = true;  // it had reached its server; if not, the time of what is held has run on meanwhile
   std::optional<LoadReport> report;
 };
 
--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -157,6 +157,11 @@
   if (at != attempts_.end()) at->second->abandon();
 }
 
+routing::Reach Pool::reach(routing::AttemptId attempt) const {
+  const auto at = attempts_.find(attempt);
+  return at == attempts_.end() ? routing::Reach::nowhere : at->second->reach();
+}
+
 void Pool::pause(routing::AttemptId attempt, bool paused) {
   const auto at = attempts_.find(attempt);
   if (at != attempts_.end()) at->second->pause(paused);
--- a/src/engine/pool.h
+++ b/src/engine/pool.h
@@ -37,6 +37,8 @@
            std::string request, bool costly = false);
   // Ends the attempt's exchange and its connection; nothing of it is told any more.
   void abandon(routing::AttemptId attempt);
+  // Attempts that are not out, or whose engine is gone: nowhere.
+  routing::Reach reach(routing::AttemptId attempt) const;
   // Reads no more of the attempt's answer, so that the engine's socket fills; and goes on.
   void pause(routing::AttemptId attempt, bool paused);
   // Runs in the loop's next turn, unless the pool has ended by then.
--- a/src/platform/engine/platform_engines.h
+++ b/src/platform/engine/platform_engines.h
@@ -22,6 +22,7 @@
 
   void begin(const routing::Order& order) override;
   void cancel(routing::AttemptId attempt) override { pool_.abandon(attempt); }
+  routing::Reach reach(routing::AttemptId attempt) const override { return pool_.reach(attempt); }
   void release(ServerId server, RequestId request, const std::string& workId) override;
   void probe(ServerId server) override;
 
--- a/src/routing/held_states.cpp
+++ b/src/routing/held_states.cpp
@@ -1,15 +1,35 @@
 #include "routing/held_states.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace garnethook::routing {
 
-void HeldStates::readSent(RequestId request, ServerId reader) {
+void HeldStates::readSent(RequestId request, ServerId reader, Micros now) {
   calls_.erase({request, reader});
-  held_[{request, reader}] = true;
+  const auto [at, first] = held_.try_emplace({request, reader}, Held{now});
+  at->second.earlier = !first;
 }
 
-void HeldStates::nothingLeft(RequestId request, ServerId reader) { held_.erase({request, reader}); }
+void HeldStates::outcome(RequestId request, Micros now) {
+  for (auto at = held_.lower_bound({request, ServerId{0}}); at != held_.end() && at->first.first == request;
+       ++at)
+    at->second.since = now;
+}
+
+std::optional<Micros> HeldStates::dueBy(RequestId request) const {
+  std::optional<Micros> first;
+  for (auto at = held_.lower_bound({request, ServerId{0}}); at != held_.end() && at->first.first == request;
+       ++at)
+    first = std::min(first.value_or(at->second.since), at->second.since);
+  if (first) *first += options_.releaseWithin;
+  return first;
+}
+
+void HeldStates::nothingLeft(RequestId request, ServerId reader) {
+  const auto at = held_.find({request, reader});
+  if (at != held_.end() && !std::exchange(at->second.earlier, false)) held_.erase(at);
+}
 void HeldStates::consumed(RequestId request, ServerId reader) { held_.erase({request, reader}); }
 
 bool HeldStates::knows(RequestId request) const {
--- a/src/routing/held_states.h
+++ b/src/routing/held_states.h
@@ -1,13 +1,15 @@
 // States that readers hold, or may hold, for requests: who must be told to let go, when, and how often again.
-// Free of I/O and clocks; tested in tests/held_states_test.cpp.
+// Free of I/O and clocks; tested in tests/state_test.cpp.
 //
 // A read leaves a state at its reader until a writer has fetched it. A read that was cancelled, or whose
 // answer was lost, may have left one too: it counts as held. Rule 5 gives the time within which a state whose
-// request has no attempt out must be used or let go.
+// request has no attempt out must be used or let go. An attempt counts as out once it has reached an engine:
+// while connections fail to come up the time runs on.
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,11 +34,16 @@
 
   // A read of the request went to the reader. A release of an earlier read of it there is not tried again: it
   // could let go of the new state.
-  void readSent(RequestId request, ServerId reader);
+  void readSent(RequestId request, ServerId reader, Micros now);
   // The read is known to have left nothing (the reader turned it away, or was never reached).
   void nothingLeft(RequestId request, ServerId reader);
   // A writer has begun to answer: the fetched state's reader has let go by itself.
   void consumed(RequestId request, ServerId reader);
+  // An attempt of the request ended that had reached an engine: the time for what is held starts anew.
+  void outcome(RequestId request, Micros now);
+  // When what is held for the request has to be taken or let go, unless an attempt has reached an engine by
+  // then; nothing where nothing is held.
+  std::optional<Micros> dueBy(RequestId request) const;
   // The request needs its states no more: the calls to be made now.
   std::vector<Call> release(RequestId request, Micros now);
   // How a call ended. Failed ones are due again after the pause, up to the tries.
@@ -62,7 +69,11 @@
     int tries = 0;
   };
   Options options_;
-  std::map<Key, bool> held_;
+  struct Held {
+    Micros since = 0;      // for rule 5
+    bool earlier = false;  // an earlier read of the request there may have left a state too
+  };
+  std::map<Key, Held> held_;
   std::map<Key, Release> calls_;
   std::uint64_t released_ = 0;
   std::uint64_t abandoned_ = 0;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -220,6 +220,14 @@
                       .last = true});
     return;
   }
+  if (life->client->departed()) {  // its close waits behind other events of this turn
+    give(AttemptEnded{.id = a.id,
+                      .attempt = life->attempts++,
+                      .server = a.server,
+                      .outcome = Outcome::notSent,
+                      .last = true});
+    return leave(a.id);
+  }
   const auto role = roles_.find(a.server.value);
   Job job = Job::whole;
   if (role != roles_.end() && role->second == Role::reader)
@@ -237,12 +245,14 @@
     out.timeout = timers_.after(a.timeout, [this, attempt = AttemptId{a.id, out.number}] {
       Life* late = find(attempt.request);
       if (late == nullptr || !late->out || late->out->number != attempt.number || late->out->started) return;
-      engines_.cancel(attempt);
       endAttempt(attempt.request, *late, Outcome::timedOut, false);
     });
+  if (const auto due = held_.dueBy(a.id))
+    out.unreached = timers_.after(std::max<Micros>(0, *due - out.sentAt),
+                                  [this, attempt = AttemptId{a.id, out.number}] { cutUnreached(attempt); });
   life->out = out;
   if (job == Job::read) {
-    held_.readSent(a.id, a.server);
+    held_.readSent(a.id, a.server, out.sentAt);
     works_.try_emplace(a.id.value, life->workId);
   }
   const Order order{
@@ -258,10 +268,19 @@
   engines_.begin(order);
 }
 
+// Rule 5: what is held for a request may not wait longer for connections to come up. The attempt ends, and
+// with it the time of the state: the module lets go of it.
+void Router::cutUnreached(AttemptId attempt) {
+  Life* life = find(attempt.request);
+  if (life == nullptr || !life->out || life->out->number != attempt.number || life->out->started) return;
+  if (engines_.reach(attempt) != Reach::nowhere) return;
+  if (life->out->job == Job::read) { callReleases(held_.release(attempt.request, timers_.now())); }
+  endAttempt(attempt.request, *life, Outcome::connectFailed, false);
+}
+
 void Router::carry(const Cancel& a) {
   Life* life = find(a.id);
   if (life == nullptr || !life->out || life->out->number != a.attempt) return;
-  engines_.cancel({a.id, a.attempt});
   endAttempt(a.id, *life, Outcome::cancelled, false);
 }
 
@@ -356,22 +375,30 @@
 }
 
 void Router::breakStream(RequestId id, Life& life, Cause cause, Outcome outcome, const std::string& text) {
-  engines_.cancel({id, life.out->number});
   finish(id, life, {.final = Final::failed, .cause = cause, .text = text});
   endAttempt(id, life, outcome, true);
 }
 
-// Ends the attempt that is out by this router's own doing; its engine's events are off already.
+// Ends the attempt that is out by this router's own doing.
 void Router::endAttempt(RequestId id, Life& life, Outcome outcome, bool last) {
   const Out out = *life.out;
+  const bool arrived = out.started || engines_.reach({id, out.number}) == Reach::engine;
+  engines_.cancel({id, out.number});
   life.out.reset();
+  if (arrived) held_.outcome(id, timers_.now());
   timers_.cancel(out.timeout);
+  timers_.cancel(out.unreached);
   timers_.cancel(life.guard);
   ++counters_.outcomes[outcome];
   if (out.job != Job::read && !provesNotRun(outcome)) life.exposed.mayHaveRun = true;
   if (out.job != Job::read && outcome == kNoJudgement && out.started) life.exposed.mayHaveRun = true;
   observer_.onAttemptEnded({id, out.number}, out.server, {.outcome = outcome, .text = "ended here"});
-  give(AttemptEnded{.id = id, .attempt = out.number, .server = out.server, .outcome = outcome, .last = last});
+  give(AttemptEnded{.id = id,
+                    .attempt = out.number,
+                    .server = out.server,
+                    .outcome = outcome,
+                    .last = last,
+                    .arrived = arrived});
 }
 
 void Router::onAttemptEnded(AttemptId attempt, const AttemptResult& result) {
@@ -384,7 +411,10 @@
   const Out out = *life->out;
   life->out.reset();
   timers_.cancel(out.timeout);
+  timers_.cancel(out.unreached);
   timers_.cancel(life->guard);
+  const bool arrived = result.outcome != Outcome::connectFailed && !result.keptConnection;
+  if (arrived) held_.outcome(id, timers_.now());
   ++counters_.outcomes[result.outcome];
   observer_.onAttemptEnded(attempt, out.server, result);
   if (!result.text.empty()) life->lastTrouble = result.text;
@@ -397,6 +427,7 @@
                      .foundTokens = result.foundTokens,
                      .stateMissing = result.stateMissing,
                      .keptConnection = result.keptConnection,
+                     .arrived = arrived,
                      .report = result.report};
   if (result.promptTokens > 0) {
     life->usage.promptTokens = result.promptTokens;
@@ -470,7 +501,6 @@
     Life* life = find(id);
     if (life == nullptr || life->client != nullptr) continue;
     if (life->out) {
-      engines_.cancel({id, life->out->number});
       endAttempt(id, *life, life->out->started ? kNoJudgement : Outcome::cancelled, true);
       life = find(id);  // endAttempt pumps, and may have settled it
     }
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -106,6 +106,7 @@
     Micros lastToken = 0;
     std::uint32_t tokens = 0;
     timing::TimerKey timeout;
+    timing::TimerKey unreached;
   };
   struct Life {
     Ask ask;
@@ -140,6 +141,7 @@
   void endAttempt(RequestId id, Life& life, Outcome outcome, bool last);
   void breakStream(RequestId id, Life& life, Cause cause, Outcome outcome, const std::string& text);
   void guardStream(RequestId id);
+  void cutUnreached(AttemptId attempt);
   void settle();
   void forgetWork(RequestId id);
   void callReleases(const std::vector<HeldStates::Call>& calls);
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -94,6 +94,9 @@
   virtual void onTokens(const Tokens& tokens) = 0;
   // The one final answer; nothing comes after it and the router forgets the client.
   virtual void onEnd(const Ending& ending) = 0;
+  // Whether the client has gone, also where its front was not told so yet. Asked before each attempt, so that
+  // none begins for a client whose close waits behind other events of the same turn.
+  virtual bool departed() const { return false; }
 };
 
 // ---- engines ----
@@ -143,6 +146,13 @@
   virtual void onReleaseEnded(ServerId server, RequestId request, bool ok) = 0;
 };
 
+// How far the request of an attempt that is out has got for certain.
+enum class Reach {
+  nowhere,  // not written whole, or on a connection that is not up yet
+  written,  // whole, on a connection kept from before that has given no sign since: it may be dead
+  engine    // on a connection that came up for it, or has given a sign since
+};
+
 // The engines as the router core sees them. Events come later than the call that they answer.
 class Engines {
  public:
@@ -150,6 +160,7 @@
   virtual void begin(const Order& order) = 0;
   // Ends the attempt at this side at once; no event of it comes after.
   virtual void cancel(AttemptId attempt) = 0;
+  virtual Reach reach(AttemptId attempt) const = 0;
   // Asks a reader to let go of what it holds for the work. Where engines don't know how, done at once.
   virtual void release(ServerId server, RequestId request, const std::string& workId) = 0;
   virtual void probe(ServerId server) = 0;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -28,6 +28,7 @@
     begun.push_back({o.attempt, o.server, o.job, std::string(o.handover)});
   }
   void cancel(AttemptId a) override { cancelled.push_back(a); }
+  Reach reach(AttemptId) const override { return reached; }
   void release(ServerId s, RequestId r, const std::string&) override { released.emplace_back(s, r); }
   void probe(ServerId) override {}
   struct Begun {
@@ -36,6 +37,7 @@
     Job job;
     std::string handover;
   };
+  Reach reached = Reach::engine;
   std::vector<Begun> begun;
   std::vector<AttemptId> cancelled;
   std::vector<std::pair<ServerId, RequestId>> released;
@@ -51,7 +53,9 @@
     EXPECT_FALSE(ending) << "a second final answer";
     ending = e;
   }
+  bool departed() const override { return gone; }
   std::string text;
+  bool gone = false;
   std::optional<Ending> ending;
   std::function<void()> whenToken;
 };
@@ -195,6 +199,78 @@
   EXPECT_EQ(router.held().releasing(), 0u);
 }
 
+// Three connections that failed one after another kept a state for longer than rule 5 allows, as each failure
+// was taken for the begin of its time.
+TEST_F(RouterTest, AStateIsLetGoWhereConnectionsToWritersFailOneAfterAnother) {
+  Ear ear;
+  ask(ear);
+  timers.pass(10'000);
+  const Micros readAt = timers.time;
+  read();
+  engines.reached = Reach::nowhere;
+  timers.pass(300'000);
+  ASSERT_EQ(engines.begun.back().job, Job::write);
+  router.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::connectFailed});
+  ASSERT_EQ(engines.begun.back().job, Job::write);
+  const auto second = engines.begun.back().attempt;
+  while (engines.released.empty() && timers.time < readAt + 2'000'000) timers.pass(1'000);
+  EXPECT_LE(timers.time - readAt, 510'000);
+  ASSERT_EQ(engines.cancelled.size(), 1u);  // the second write was ended before the state was let go
+  EXPECT_EQ(engines.cancelled[0], second);
+  EXPECT_FALSE(ear.ending);
+  ASSERT_EQ(engines.begun.size(), 4u);
+  EXPECT_EQ(engines.begun.back().job, Job::read);  // and the prompt is read anew
+}
+
+TEST_F(RouterTest, AWriteThatReachedItsEngineIsWaitedForAndAKeptConnectionsSilenceRunsOn) {
+  Ear ear;
+  ask(ear);
+  timers.pass(10'000);
+  read();
+  timers.pass(600'000);  // it waits at its writer
+  EXPECT_TRUE(engines.cancelled.empty());
+  router.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::error});
+  EXPECT_EQ(engines.begun.back().job, Job::write);  // the state is good for another one
+  EXPECT_TRUE(engines.released.empty());
+  timers.pass(600'000);
+  router.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::reset, .keptConnection = true});
+  EXPECT_EQ(engines.released.size(), 1u);  // it may never have come there, and the state's time is over
+  EXPECT_EQ(engines.begun.back().job, Job::read);
+}
+
+// What an earlier read may have left has its time too, when the next read's connection does not come up.
+TEST_F(RouterTest, WhatALostReadMayHaveLeftIsLetGoWhileTheNextFindsNoConnection) {
+  Ear ear;
+  ask(ear);
+  timers.pass(10'000);
+  const Micros lostAt = timers.time;
+  router.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::reset});
+  ASSERT_EQ(engines.begun.size(), 2u);
+  engines.reached = Reach::nowhere;
+  while (engines.released.empty() && timers.time < lostAt + 2'000'000) timers.pass(1'000);
+  EXPECT_LE(timers.time - lostAt, 510'000);
+}
+
+TEST_F(RouterTest, NothingBeginsForAClientThatHasGone) {
+  Ear ear;
+  ear.gone = true;
+  ask(ear);
+  EXPECT_TRUE(engines.begun.empty());
+  EXPECT_EQ(router.open(), 0u);
+  EXPECT_EQ(router.lives(), 0u);
+  EXPECT_EQ(router.counters().left, 1u);
+  EXPECT_FALSE(ear.ending);
+
+  Ear later;
+  ask(later);
+  ASSERT_EQ(engines.begun.size(), 1u);
+  later.gone = true;
+  read();  // its close and the end of its read come in one turn
+  EXPECT_EQ(engines.begun.size(), 1u);
+  EXPECT_EQ(router.lives(), 0u);
+  EXPECT_EQ(engines.released.size(), 1u);  // and what was read is let go
+}
+
 TEST_F(RouterTest, ABadRequestIsNobodysFaultButItsOwn) {
   Ear ear;
   ask(ear);
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -74,9 +74,9 @@
 
 TEST(HeldStates, AReleaseIsTriedAgainUntilItHoldsOrIsGivenUp) {
   routing::HeldStates held({.releaseWithin = 500'000, .tries = 3, .pause = 100});
-  held.readSent({1}, {7});
-  held.readSent({1}, {8});
-  held.readSent({2}, {7});
+  held.readSent({1}, {7}, 0);
+  held.readSent({1}, {8}, 0);
+  held.readSent({2}, {7}, 0);
   auto calls = held.release({1}, 1000);
   ASSERT_EQ(calls.size(), 2u);
   EXPECT_EQ(held.held(), 1u);
@@ -98,7 +98,7 @@
 // A reader that resets every connection for seconds: releases were given up before it could be told again.
 TEST(HeldStates, TriesOutlastAnOutageOfSecondsAndStayCloseEnough) {
   routing::HeldStates held({});
-  held.readSent({1}, {7});
+  held.readSent({1}, {7}, 0);
   const auto call = held.release({1}, 0)[0];
   Micros now = 0;
   Micros last = 0;
@@ -113,13 +113,33 @@
 
 TEST(HeldStates, WhatWasFetchedLostOrNeverReadIsNotReleased) {
   routing::HeldStates held({});
-  for (const std::uint64_t reader : {1, 2, 3}) held.readSent({1}, {reader});
+  for (const std::uint64_t reader : {1, 2, 3}) held.readSent({1}, {reader}, 0);
   held.consumed({1}, {1});
   held.nothingLeft({1}, {2});
   held.readerLost({3});
   EXPECT_TRUE(held.release({1}, 0).empty());
 }
 
+// Rule 5's time runs on while connections fail to come up, and starts anew once an attempt reached an engine.
+TEST(HeldStates, TheTimeOfWhatIsHeldRunsFromTheLastAttemptThatReachedAnEngine) {
+  routing::HeldStates held({.releaseWithin = 500});
+  EXPECT_FALSE(held.dueBy({1}));
+  held.readSent({1}, {7}, 100);
+  held.outcome({1}, 1000);  // the read ended
+  held.outcome({2}, 1200);  // another request's
+  EXPECT_EQ(held.dueBy({1}), 1500);
+  held.readSent({1}, {8}, 1400);
+  EXPECT_EQ(held.dueBy({1}), 1500);  // the oldest counts
+  held.outcome({1}, 1450);
+  EXPECT_EQ(held.dueBy({1}), 1950);
+  held.readSent({1}, {8}, 1700);  // once more at the same reader, which turns it away
+  held.nothingLeft({1}, {8});
+  held.consumed({1}, {7});
+  EXPECT_EQ(held.dueBy({1}), 1950);  // the first read there may have left a state
+  held.nothingLeft({1}, {8});
+  EXPECT_FALSE(held.dueBy({1}));
+}
+
 TEST(StreamGuard, EndsQuietStreamsAndThoseAtTheDeadline) {
   const routing::StreamGuard guard({.silence = 1000, .margin = 100});
   EXPECT_EQ(guard.usable(10'000), 9'900);
