Clients' connections end in order, and their departure is seen behind what they sent

Need: a close over unread bytes resets the connection and takes the answer with it; a request read after this side's end and sent on is lost; attempts that begin after a client's close are a break. By reading: Connection::end closed at once after the shutdown, and octets still to be sent went with the connection in the next turn; reading was paused behind 64 KB of further requests (three prompts of 20 KB), so a close went unseen; a request and the close behind it are read in two turns, and the attempt began in the first.

Change: an ended connection sends what waits, shuts down, reads and throws away until its client closes too (1 s, 1 MiB and 64 connections at most); up to 1 MiB is kept of what comes behind an open request, beyond that it is thrown away and the connection ends with its answer; a request whose client has closed already is not begun.

--- a/src/platform/front/http_front.cpp
+++ b/src/platform/front/http_front.cpp
@@ -60,16 +60,30 @@
   ~Connection() override = default;
 
   Standing standing() const {
-    if (open_ || lingering_ || parser_.midway() || !ahead_.empty()) return Standing::busy;
+    if (open_ || ended_ || parser_.midway() || waiting() > 0) return Standing::busy;
     return answered_ ? Standing::idle : Standing::fresh;
   }
   Micros since() const { return since_; }
   bool quiet() const { return stream_.quiet(); }
+  // This side's end: what is to be sent goes out, then the peer is told that nothing follows. What it still
+  // sends is thrown away, so that no reset takes with it what the client has not read yet. No request is
+  // taken any more: its client sees that it was not read, and asks anew.
   void end() {
     if (std::exchange(ended_, true)) return;
+    if (open_) leave();
+    drop();
+    stream_.finishSending();
+    owner_.ending(*this);
+    timer_.start(owner_.options_.lingerWithin, [this] { gone(); });
+  }
+  // Closes at once, whatever is still to be sent.
+  void gone() {
+    if (std::exchange(gone_, true)) return;
+    ended_ = true;
     timer_.stop();
     if (open_) leave();
-    stream_.closeAfterSending(owner_.options_.lingerWithin);
+    drop();
+    stream_.close();
     owner_.closed(*this);
   }
   // Ends after the answer that is due, or now where it rests between requests; `silent`: a connection that
@@ -84,30 +98,50 @@
   // ---- octets ----
 
   void onOctets(std::string_view octets) override {
-    if (lingering_) {
+    if (ended_) {
       lingered_ += octets.size();
-      if (lingered_ > owner_.options_.lingerBytes) end();
+      if (lingered_ > owner_.options_.lingerBytes) gone();
       return;
     }
-    if (open_) {
-      ahead_.append(octets);
-      if (ahead_.size() > owner_.options_.aheadBytes) stream_.pauseReading(true);
+    if (flooded_) return;
+    if (open_ || waiting() > 0) return keep(octets);
+    const std::size_t taken = feed(octets);
+    if (taken < octets.size() && !ended_) keep(octets.substr(taken));
+  }
+
+  // Octets that come while a request is open wait here. Reading goes on all the same, as nothing else tells
+  // that the client has gone: where too much waits it is thrown away, and the connection ends with the answer
+  // that is due. Guards the process's memory against peers that send without waiting.
+  void keep(std::string_view octets) {
+    if (waiting() + octets.size() > owner_.options_.aheadBytes ||
+        owner_.ahead_ + octets.size() > owner_.options_.bodiesBytes) {
+      drop();
+      flooded_ = closing_ = true;
+      if (!open_) end();
       return;
     }
-    feed(octets);
+    if (aheadAt_ > 0) ahead_.erase(0, std::exchange(aheadAt_, 0));
+    ahead_.append(octets);
+    owner_.ahead_ += octets.size();
+    if (!open_) nextLater();
+  }
+  std::size_t waiting() const { return ahead_.size() - aheadAt_; }
+  void drop() {
+    owner_.ahead_ -= waiting();
+    ahead_ = {};
+    aheadAt_ = 0;
   }
 
-  void feed(std::string_view octets) {
+  // Tells how many octets were taken: all, or those up to the end of a request.
+  std::size_t feed(std::string_view octets) {
     if (answered_ && !parser_.midway()) limitRequest();  // the first octet of another request
     parser_.resume();
     const bool good = parser_.receive(octets);
-    if (ended_ || lingering_) return;
-    if (!good) {
+    if (!ended_ && !good) {
       const auto error = parser_.error();
-      return turnAway(error == "body too large" ? 413 : error == "head too large" ? 431 : 400, error);
+      turnAway(error == "body too large" ? 413 : error == "head too large" ? 431 : 400, error);
     }
-    if (parser_.untaken() > 0) ahead_.assign(octets.substr(octets.size() - parser_.untaken()));
-    if (!open_ && !ahead_.empty()) nextLater();
+    return ended_ ? octets.size() : octets.size() - parser_.untaken();
   }
 
   void onHead(const http1::Head& head) override {
@@ -126,6 +160,8 @@
       const bool ready = owner_.ready_();
       return reply(ready ? 200 : 503, ready ? "ready" : "not ready", 0);
     }
+    // A client that closed right behind its request is gone before anything begins for it.
+    if (stream_.peerGone()) return gone();
     auto read = readRequest(head_, std::move(body_), owner_.provision_);
     body_ = {};
     if (const auto* refusal = std::get_if<Refusal>(&read)) return turnAway(refusal->status, refusal->text);
@@ -142,10 +178,12 @@
     if (open_) request_ = request;
   }
 
-  void onClosed(net::CloseCause) override { end(); }
+  void onClosed(net::CloseCause) override { gone(); }
 
   // ---- the answer ----
 
+  bool departed() const override { return stream_.peerGone(); }
+
   void onTokens(const routing::Tokens& tokens) override {
     std::string out;
     out.reserve(tokens.text.size() + 160);
@@ -163,7 +201,7 @@
     stream_.send(out);
     if (stream_.pending() > owner_.options_.unreadBytes)
       owner_.loop_.post([this, alive = std::weak_ptr<bool>(alive_)] {
-        if (!alive.expired()) end();
+        if (!alive.expired()) gone();  // it does not read
       });
   }
 
@@ -175,7 +213,7 @@
       stream_.send("0\r\n\r\n");
       return answered();
     }
-    if (begun) return endLater();  // without the last chunk, so that the client knows
+    if (begun) return end();  // without the last chunk, so that the client knows
     if (ending.final == routing::Final::refused) {
       const bool busy = ending.cause == routing::Cause::busy || ending.cause == routing::Cause::deadline;
       return reply(busy ? 429 : 503, ending.text, ending.retryAfter);
@@ -192,23 +230,20 @@
   void turnAway(int status, std::string_view text) {
     ++owner_.counters_.turnedAway;
     stream_.send(answer(status, text, 0, false));
-    linger();
-  }
-
-  // Closing at once would reset the connection under what the client still sends, and the answer with it.
-  void linger() {
-    lingering_ = true;
-    ahead_ = {};
     parser_.stop();
-    timer_.start(owner_.options_.lingerWithin, [this] { end(); });
+    end();
   }
 
   void answered() {
     answered_ = true;
     since_ = owner_.loop_.now();
-    if (closing_) return linger();
-    if (!ahead_.empty()) return nextLater();
-    timer_.start(owner_.policy_.idleLimit(owner_.connections_.size()), [this] { idledOut(); });
+    if (closing_) {
+      parser_.stop();
+      return end();
+    }
+    if (waiting() > 0) return nextLater();
+    timer_.start(owner_.policy_.idleLimit(owner_.connections_.size() - owner_.ending_.size()),
+                 [this] { idledOut(); });
   }
 
   void idledOut() {
@@ -220,19 +255,23 @@
     end();
   }
 
+  // The next request of those that wait, in a turn of its own.
   void nextLater() {
+    if (std::exchange(nextPosted_, true)) return;
     owner_.loop_.post([this, alive = std::weak_ptr<bool>(alive_)] {
-      if (alive.expired() || ended_ || open_ || lingering_) return;
-      const std::string octets = std::exchange(ahead_, {});
-      stream_.pauseReading(false);
-      if (!octets.empty()) feed(octets);
-    });
-  }
-
-  void endLater() {
-    lingering_ = true;  // takes nothing more
-    owner_.loop_.post([this, alive = std::weak_ptr<bool>(alive_)] {
-      if (!alive.expired()) end();
+      if (alive.expired()) return;
+      nextPosted_ = false;
+      if (ended_ || open_ || waiting() == 0) return;
+      // The feed may end the connection, and with it what waits.
+      std::string octets = std::exchange(ahead_, {});
+      const std::size_t from = std::exchange(aheadAt_, 0);
+      owner_.ahead_ -= octets.size() - from;
+      const std::size_t taken = feed(std::string_view(octets).substr(from));
+      if (ended_ || from + taken == octets.size()) return;
+      ahead_ = std::move(octets);
+      aheadAt_ = from + taken;
+      owner_.ahead_ += waiting();
+      if (!open_) nextLater();
     });
   }
 
@@ -241,9 +280,9 @@
   }
   void tooSlow() {
     ++owner_.counters_.timedOut;
-    if (!parser_.midway()) return end();
-    stream_.send(answer(408, "the request did not come whole in time", 0, false));
-    linger();
+    if (parser_.midway()) stream_.send(answer(408, "the request did not come whole in time", 0, false));
+    parser_.stop();
+    end();
   }
 
   void closeRequest() {
@@ -263,7 +302,8 @@
   timing::Alarm timer_;
   http1::Head head_;
   std::string body_;
-  std::string ahead_;  // octets that came while a request was open
+  std::string ahead_;        // octets that came while a request was open ...
+  std::size_t aheadAt_ = 0;  // ... from here on
   std::string id_;
   std::size_t held_ = 0;
   std::optional<RequestId> request_;
@@ -273,8 +313,10 @@
   bool begun_ = false;     // and has passed on the first of it
   bool answered_ = false;  // a request of this connection has had its answer
   bool closing_ = false;   // with the next answer
-  bool lingering_ = false;
-  bool ended_ = false;
+  bool flooded_ = false;   // sent more ahead than is kept
+  bool nextPosted_ = false;
+  bool ended_ = false;  // takes nothing more
+  bool gone_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   net::Stream stream_;
 };
@@ -295,6 +337,13 @@
   connections_.clear();
 }
 
+// Those whose end this side has told wait for their peers to close; with many of them the oldest goes at
+// once.
+void HttpFront::ending(Connection& connection) {
+  ending_.push_back(&connection);
+  if (ending_.size() > options_.lingering) ending_.front()->gone();
+}
+
 void HttpFront::accept(Poco::Net::StreamSocket socket) {
   ++counters_.accepted;
   try {
@@ -310,7 +359,7 @@
 // Room for the next connection is made ahead. Where none may go yet, whoever comes waits in the system's
 // queue.
 void HttpFront::makeRoom() {
-  if (!policy_.full(connections_.size()) || evictOne()) return;
+  if (!policy_.full(connections_.size() - ending_.size()) || evictOne()) return;
   ++counters_.overfull;
   listener_.rest(policy_.options().retryPause);
   roomAlarm_.start(policy_.options().retryPause, [this] { makeRoom(); });
@@ -340,6 +389,7 @@
 void HttpFront::closed(Connection& connection) {
   const auto at = connections_.find(&connection);
   if (at == connections_.end()) return;
+  std::erase(ending_, &connection);
   loop_.post([own = std::shared_ptr<Connection>(std::move(at->second)), alive = alive_] {});
   connections_.erase(at);
 }
--- a/src/platform/front/http_front.h
+++ b/src/platform/front/http_front.h
@@ -1,6 +1,7 @@
 // Clients over HTTP/1.1: one request at a time on a connection, answers as streams of events.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,10 +20,11 @@
   struct Options {
     ConnectionPolicy::Options connections;
     std::size_t bodiesBytes = 64u << 20;   // of all open requests together
-    std::size_t aheadBytes = 64 * 1024;    // read of the next request while one is open
+    std::size_t aheadBytes = 1u << 20;     // kept of what a client sends behind an open request
     std::size_t unreadBytes = 512 * 1024;  // of an answer that its client does not read
-    Micros lingerWithin = 100'000;         // for a client to read an error before the connection goes
+    Micros lingerWithin = 1'000'000;       // for a client to close too, once this side has ended
     std::size_t lingerBytes = 1u << 20;    // and so much of what it still sends is thrown away
+    std::size_t lingering = 64;            // connections at once in that state
     Micros retryAfter = 250'000;           // told where this front itself is full
   };
   struct Counters {
@@ -54,6 +56,7 @@
   void accept(Poco::Net::StreamSocket socket);
   void makeRoom();
   bool evictOne();
+  void ending(Connection& connection);
   void closed(Connection& connection);
   void endIdle(bool silent);
 
@@ -66,6 +69,8 @@
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::unordered_set<std::string> ids_;  // of open requests
   std::size_t bodies_ = 0;
+  std::size_t ahead_ = 0;  // octets that wait behind open requests
+  std::deque<Connection*> ending_;
   bool draining_ = false;
   Counters counters_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/path/platform_path_test.cpp
+++ b/tests/path/platform_path_test.cpp
@@ -1,5 +1,7 @@
 // Whole paths on the platform: raw clients, scripted engines and discovery on loopback. Each test causes the
 // trouble that it names.
+#include <array>
+
 #include "platform_world.h"
 
 namespace garnethook::test {
@@ -109,6 +111,96 @@
   EXPECT_TRUE(w.clean());
 }
 
+std::string requestText(const std::string& id, const std::string& more = "", std::size_t size = 13) {
+  const std::string body = R"({"model":"m"})" + std::string(size - 13, ' ');
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Trace-Id: " + id +
+         "\r\nX-Qos: chat\r\nX-Expires-In-Ms: 3000\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Reads to the connection's end; a reset in place of an orderly one throws.
+std::string readToEnd(Poco::Net::StreamSocket& socket) {
+  std::string out;
+  std::array<char, 4096> piece{};
+  socket.setReceiveTimeout(Poco::Timespan(2, 0));
+  while (const int n = socket.receiveBytes(piece.data(), static_cast<int>(piece.size())))
+    out.append(piece.data(), static_cast<std::size_t>(n));
+  return out;
+}
+
+// The request and the close are read in one turn: the attempt began before the close was seen.
+TEST_F(PlatformPath, ARequestWhoseClientClosedRightBehindItBeginsNothing) {
+  for (int i = 0; i < 5; ++i) {
+    Poco::Net::StreamSocket client(w.node->address());
+    const auto text = requestText("gone" + std::to_string(i));
+    client.sendBytes(text.data(), static_cast<int>(text.size()));
+    client.close();
+  }
+  w.pass(300'000);
+  EXPECT_EQ(w.node->front().connections(), 0u);
+  EXPECT_EQ(w.reader.count("POST"), 0u);
+}
+
+// Reading was paused behind an open request, and the close of a client that had sent much went unseen.
+TEST_F(PlatformPath, MuchSentBehindAnOpenRequestDoesNotHideTheClose) {
+  w.writer.script = [](Request& r) { PlatformWorld::answerCalls(r); };  // no answer to writes
+  auto c = w.client();
+  c->ask("much");
+  for (int i = 0; i < 20; ++i) c->stream.send(requestText("behind" + std::to_string(i), "", 20'000));
+  ASSERT_TRUE(w.until([&] { return w.writer.count("POST") == 1 && c->stream.pending() == 0; }, 2'000'000));
+  c->stream.close();
+  EXPECT_TRUE(w.until([&] { return w.writer.gone() == 1; }, 100'000));
+  EXPECT_TRUE(w.clean());
+  EXPECT_EQ(w.reader.count("POST"), 1u);
+}
+
+TEST_F(PlatformPath, AFloodBehindAnOpenRequestIsNotKeptAndOthersAreServed) {
+  auto c = w.client();
+  std::vector<net::Stream*> held;
+  w.writer.script = [&](Request& r) {
+    if (!PlatformWorld::answerCalls(r)) held.push_back(r.stream);
+  };
+  c->ask("flood");
+  for (int i = 0; i < 200; ++i) c->stream.send(requestText("more" + std::to_string(i), "", 20'000));
+  auto other = w.client();
+  other->ask("other");
+  ASSERT_TRUE(w.until([&] { return held.size() == 2 && c->stream.pending() == 0; }, 2'000'000))
+      << held.size() << " " << c->stream.pending() << " " << other->got << w.node->summary();
+  w.pass(50'000);
+  for (auto* s : held) s->send(kWhole);
+  EXPECT_TRUE(w.until([&] { return other->has(kLast) && c->closed; }, 2'000'000)) << other->got;
+  EXPECT_EQ(c->count(kLast), 1u) << c->got;
+  EXPECT_TRUE(w.clean());
+}
+
+TEST_F(PlatformPath, AnAnswerIsReadWholeThoughMoreWasSentBehindItsRequest) {
+  Poco::Net::StreamSocket client(w.node->address());
+  const auto text = requestText("last", "Connection: close\r\n") + requestText("extra", "", 100'000);
+  client.sendBytes(text.data(), static_cast<int>(text.size()));
+  w.pass(300'000);
+  const auto got = readToEnd(client);
+  EXPECT_TRUE(got.ends_with(kLast)) << got;
+  EXPECT_EQ(w.reader.count("POST"), 1u);
+}
+
+// The request crosses the end of its connection: it is not read, and no reset takes the answer before it.
+TEST_F(PlatformPath, ARequestBehindTheEndOfARestingConnectionIsNotSentOn) {
+  Poco::Net::StreamSocket client(w.node->address());
+  const auto first = requestText("first");
+  client.sendBytes(first.data(), static_cast<int>(first.size()));
+  w.pass(200'000);
+  w.node->drain([] {});
+  w.pass(50'000);
+  const auto late = requestText("late");
+  client.sendBytes(late.data(), static_cast<int>(late.size()));
+  w.pass(50'000);
+  const auto got = readToEnd(client);
+  EXPECT_TRUE(got.ends_with(kLast)) << got;
+  EXPECT_EQ(w.reader.count("POST"), 1u);
+  client.close();
+  EXPECT_TRUE(w.until([&] { return w.node->front().connections() == 0; }, 500'000));
+}
+
 TEST_F(PlatformPath, AReleaseGoesElsewhereWhereTheReaderIsSilent) {
   w.reader.script = [](Request& r) {
     if (r.head.method == "POST") r.stream->send(kRead);  // and no word to a release
