A release asks the next engine while one is silent, those heard of late first

By reading: a release was tried at the holder, then its cell, each for 250 ms before the next; where a zone is lost both may be silent, and two such waits use up the 500 ms. Any engine takes a release.

--- a/src/engine/connection.cpp
+++ b/src/engine/connection.cpp
@@ -23,7 +23,7 @@
 
 void Connection::run(std::unique_ptr<Exchange> exchange, std::string request, Micros limit, bool redial) {
   exchange_ = std::move(exchange);
-  answered_ = false;
+  answered_ = heard_ = false;
   redial_ = redial;
   reusedAfter_ = restedAt_ == 0 ? -1 : loop_.now() - restedAt_;
   timer_.stop();
@@ -35,6 +35,7 @@
 }
 
 void Connection::abandon() {
+  if (!heard_) owner_.onHeard(*this, false);
   if (exchange_) exchange_->mute();
   muted_ = std::move(exchange_);
   free(false);
@@ -49,6 +50,7 @@
 
 void Connection::onOctets(std::string_view octets) {
   if (!exchange_) return free(false);  // octets that nobody asked for
+  if (!std::exchange(heard_, true)) owner_.onHeard(*this, true);
   if (reusedAfter_ >= 0) owner_.onReused(*this, std::exchange(reusedAfter_, -1), false);
   const bool good = parser_.receive(octets);
   if (exchange_ && !good) return fail(Outcome::error, "bad HTTP: " + std::string(parser_.error()));
@@ -103,6 +105,7 @@
 }
 
 void Connection::fail(Outcome outcome, const std::string& text, bool kept) {
+  if (!heard_) owner_.onHeard(*this, false);
   const auto exchange = std::move(exchange_);
   free(false);
   if (exchange) exchange->onFailed(outcome, text, kept);
--- a/src/engine/connection.h
+++ b/src/engine/connection.h
@@ -20,6 +20,8 @@
   // The exchange is over, or an idle connection is; where not `reusable` the connection is closed. It must
   // not be destroyed from within this call.
   virtual void onFree(Connection& connection, bool reusable) = 0;
+  // The engine has said something, or it was given up on without a word: no connection, no answer, a reset.
+  virtual void onHeard(Connection& connection, bool sound) = 0;
   // How a request fared on a connection that had been kept for so long: whether any answer came.
   virtual void onReused(Connection& connection, Micros rested, bool dead) = 0;
 };
@@ -73,6 +75,7 @@
   std::unique_ptr<Exchange> muted_;  // maybe in the middle of a call
   std::string request_;              // until connected
   bool answered_ = false;
+  bool heard_ = false;  // anything since the exchange began
   bool keepAlive_ = false;
   bool over_ = false;  // the exchange said all within this piece of octets
   bool redial_ = false;
--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -24,6 +24,16 @@
   return out;
 }
 
+bool Pool::sound(ServerId server) const {
+  const auto at = engines_.find(server.value);
+  return at != engines_.end() && at->second.sound;
+}
+
+void Pool::onHeard(Connection& connection, bool sound) {
+  const auto at = engines_.find(connection.server().value);
+  if (at != engines_.end()) at->second.sound = sound;
+}
+
 bool Pool::full(ServerId server) const {
   const auto at = engines_.find(server.value);
   return at != engines_.end() && (at->second.busy >= options_.connections ||
@@ -35,7 +45,10 @@
   for (const auto& [name, spec] : engines) {
     Engine& e = engines_[spec.id.value];
     const bool moved = e.spec.host != spec.host || e.spec.port != spec.port;
-    if (moved || e.spec.startedAt != spec.startedAt) closeIdle(e);
+    if (moved || e.spec.startedAt != spec.startedAt) {
+      closeIdle(e);
+      e.sound = false;
+    }
     e.spec = spec;
     e.listed = true;
     if (!moved && e.resolved) continue;
--- a/src/engine/pool.h
+++ b/src/engine/pool.h
@@ -27,6 +27,9 @@
   const membership::EngineSpec* find(ServerId server) const;
   // Every engine that is listed and has an address.
   std::vector<ServerId> listed() const;
+  // Whether the latest news of the engine is a word from it, on a connection of this router; false where it
+  // was given up on since, or never heard.
+  bool sound(ServerId server) const;
   // All connections that may be used for attempts are busy.
   bool full(ServerId server) const;
 
@@ -58,6 +61,7 @@
     bool listed = false;
     std::vector<std::unique_ptr<Connection>> idle;
     std::size_t busy = 0;
+    bool sound = false;
   };
   struct AttemptHash {
     std::size_t operator()(const routing::AttemptId& a) const {
@@ -66,6 +70,7 @@
   };
 
   void onFree(Connection& connection, bool reusable) override;
+  void onHeard(Connection& connection, bool sound) override;
   void onReused(Connection& connection, Micros rested, bool dead) override;
   Connection& connect(Engine& e, bool costly);
   void makeRoom();
--- a/src/platform/engine/platform_engines.cpp
+++ b/src/platform/engine/platform_engines.cpp
@@ -5,7 +5,6 @@
 #include "engine/attempt.h"
 #include "platform/engine/protocol.h"
 #include "platform/engine/relay_exchange.h"
-#include "platform/engine/release_route.h"
 
 namespace garnethook::platform {
 
@@ -27,24 +26,46 @@
   std::vector<ReleaseCandidate> listed;
   for (const ServerId id : pool_.listed()) {
     const auto& spec = *pool_.find(id);
-    listed.push_back({id, spec.cell, spec.state == ServerState::running});
+    listed.push_back({id, spec.cell, spec.state == ServerState::running, pool_.sound(id)});
   }
-  releaseAt(releaseRoute(server, std::move(listed), request.value), 0, server, request, workId);
+  auto release = std::make_shared<Release>();
+  release->route = releaseRoute(server, std::move(listed), request.value);
+  release->holder = server;
+  release->request = request;
+  release->workId = workId;
+  askNext(release);
 }
 
-void PlatformEngines::releaseAt(std::vector<ServerId> route, std::size_t at, ServerId holder,
-                                RequestId request, const std::string& workId) {
-  while (at < route.size() && pool_.find(route[at]) == nullptr) ++at;
-  if (at == route.size())
-    return pool_.later([this, holder, request] { events_->onReleaseEnded(holder, request, false); });
-  const ServerId target = route[at];
-  auto done = [this, route = std::move(route), at, holder, request, workId](
-                  int status, const std::optional<LoadReport>&) mutable {
-    if (status >= 200 && status < 300) return events_->onReleaseEnded(holder, request, true);
-    releaseAt(std::move(route), at + 1, holder, request, workId);
+// A release may be said any number of times, so the next engine is asked while another is still waited for.
+void PlatformEngines::askNext(const std::shared_ptr<Release>& release) {
+  auto& at = release->next;
+  while (at < release->route.size() && pool_.find(release->route[at]) == nullptr) ++at;
+  if (at == release->route.size()) {
+    if (release->out == 0) end(release, false);
+    return;
+  }
+  const ServerId target = release->route[at++];
+  ++release->out;
+  auto done = [this, release](int status, const std::optional<LoadReport>&) {
+    --release->out;
+    if (release->over) return;
+    if (status >= 200 && status < 300) return end(release, true);
+    askNext(release);
   };
   pool_.run(target, std::make_unique<engine::ControlExchange>(std::move(done)),
-            callText(*pool_.find(target), "DELETE", releaseTarget(workId)), pool_.options().controlTimeout);
+            callText(*pool_.find(target), "DELETE", releaseTarget(release->workId)),
+            pool_.options().controlTimeout);
+  if (at < release->route.size())
+    timers_.after(hedge_, [this, release, after = at] {
+      if (!release->over && release->next == after) askNext(release);
+    });
+}
+
+void PlatformEngines::end(const std::shared_ptr<Release>& release, bool ok) {
+  if (std::exchange(release->over, true)) return;
+  pool_.later([this, holder = release->holder, request = release->request, ok] {
+    events_->onReleaseEnded(holder, request, ok);
+  });
 }
 
 void PlatformEngines::probe(ServerId server) {
--- a/src/platform/engine/platform_engines.h
+++ b/src/platform/engine/platform_engines.h
@@ -2,19 +2,27 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "engine/pool.h"
+#include "platform/engine/release_route.h"
 #include "provision/provision.h"
 #include "routing/types.h"
+#include "timing/owned_timers.h"
 
 namespace garnethook::platform {
 
 class PlatformEngines final : public routing::Engines {
  public:
-  PlatformEngines(net::Loop& loop, const engine::Options& options, provision::ReportMeanings meanings)
-      : pool_(loop, options), meanings_(std::move(meanings)) {}
+  // `releaseWithin`: what rule 5 gives for a release; 0: no limit told.
+  PlatformEngines(net::Loop& loop, const engine::Options& options, provision::ReportMeanings meanings,
+                  Micros releaseWithin)
+      : pool_(loop, options),
+        meanings_(std::move(meanings)),
+        hedge_(releaseHedge(releaseWithin > 0 ? releaseWithin : options.controlTimeout)),
+        timers_(loop) {}
   // Before the first call of any other.
   void setEvents(routing::EngineEvents& events) { events_ = &events; }
 
@@ -29,11 +37,22 @@
   const engine::Pool& pool() const { return pool_; }
 
  private:
-  void releaseAt(std::vector<ServerId> route, std::size_t at, ServerId holder, RequestId request,
-                 const std::string& workId);
+  struct Release {
+    std::vector<ServerId> route;
+    std::size_t next = 0;
+    int out = 0;  // engines that were asked and have not answered
+    bool over = false;
+    ServerId holder;
+    RequestId request;
+    std::string workId;
+  };
+  void askNext(const std::shared_ptr<Release>& release);
+  void end(const std::shared_ptr<Release>& release, bool ok);
 
   engine::Pool pool_;
   provision::ReportMeanings meanings_;
+  Micros hedge_;
+  timing::OwnedTimers timers_;
   routing::EngineEvents* events_ = nullptr;
 };
 
--- a/src/platform/node/node.cpp
+++ b/src/platform/node/node.cpp
@@ -64,7 +64,8 @@
       log_(std::move(log)),
       budget_(share(config_.limits)),
       names_{config_.provision.kindNames, config_.provision.zoneNames},
-      engines_(loop, engineOptions(config_, budget_), config_.provision.report),
+      engines_(loop, engineOptions(config_, budget_), config_.provision.report,
+               config_.provision.settings.releaseWithin),
       drainAlarm_(loop),
       reportAlarm_(loop),
       startedAt_(loop.now()) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -303,6 +303,13 @@
     EXPECT_EQ(route[0].value, 2u);
     EXPECT_EQ(route[1].value, 1u);
     EXPECT_EQ(route[2].value, 3u);
+    auto silent = all;  // the holder and its cell are not heard of any more
+    for (auto& c : silent) c.sound = c.cell != all[0].cell;
+    const auto elsewhere = releaseRoute(all[0].server, silent, request);
+    ASSERT_FALSE(elsewhere.empty());
+    const auto first =
+        std::find_if(silent.begin(), silent.end(), [&](const auto& c) { return c.server == elsewhere[0]; });
+    EXPECT_TRUE(first->sound);
     const auto gone = releaseRoute({9}, all, request);  // the holder is no longer listed
     ASSERT_EQ(gone.size(), 3u);
     EXPECT_EQ(std::count(gone.begin(), gone.end(), ServerId{4}), 0);
