--- a/src/engine/connection.h
+++ b/src/engine/connection.h
@@ -20,6 +20,8 @@
   // The exchange is over, or an idle connection is; where not `reusable` the connection is closed. It must
   // not be destroyed from within this call.
   virtual void onFree(Connection& connection, bool reusable) = 0;
+  // The engine has said something, or it was given up on without a word: no connection, no answer, a reset.
+  virtual void onHeard(Connection& connection, bool sound) = 0;
   // How a request fared on a connection that had been kept for so long: whether any answer came.
   virtual void onReused(Connection& connection, Micros rested, bool dead) = 0;
 };
@@ -40,6 +42,10 @@
   // Octets that wait unasked for would be taken for the next answer.
   bool usable() const { return !parser_.midway() && stream_->quiet(); }
   ServerId server() const { return server_; }
+  routing::Reach reach() const {
+    if (!stream_->connected() || stream_->pending() > 0) return routing::Reach::nowhere;
+    return reusedAfter_ >= 0 ? routing::Reach::written : routing::Reach::engine;
+  }
   // Since the latest answer; 0 before the first.
   Micros rested() const { return restedAt_ == 0 ? 0 : loop_.now() - restedAt_; }
 
@@ -69,6 +75,7 @@
   std::unique_ptr<Exchange> muted_;  // maybe in the middle of a call
   std::string request_;              // until connected
   bool answered_ = false;
+  bool heard_ = false;  // anything since the exchange began
   bool keepAlive_ = false;
   bool over_ = false;  // the exchange said all within this piece of octets
   bool redial_ = false;
--- a/src/engine/pool.h
+++ b/src/engine/pool.h
@@ -27,6 +27,9 @@
   const membership::EngineSpec* find(ServerId server) const;
   // Every engine that is listed and has an address.
   std::vector<ServerId> listed() const;
+  // Whether the latest news of the engine is a word from it, on a connection of this router; false where it
+  // was given up on since, or never heard.
+  bool sound(ServerId server) const;
   // All connections that may be used for attempts are busy.
   bool full(ServerId server) const;
 
@@ -37,6 +40,8 @@
            std::string request, bool costly = false);
   // Ends the attempt's exchange and its connection; nothing of it is told any more.
   void abandon(routing::AttemptId attempt);
+  // Attempts that are not out, or whose engine is gone: nowhere.
+  routing::Reach reach(routing::AttemptId attempt) const;
   // Reads no more of the attempt's answer, so that the engine's socket fills; and goes on.
   void pause(routing::AttemptId attempt, bool paused);
   // Runs in the loop's next turn, unless the pool has ended by then.
@@ -56,6 +61,7 @@
     bool listed = false;
     std::vector<std::unique_ptr<Connection>> idle;
     std::size_t busy = 0;
+    bool sound = false;
   };
   struct AttemptHash {
     std::size_t operator()(const routing::AttemptId& a) const {
@@ -64,6 +70,7 @@
   };
 
   void onFree(Connection& connection, bool reusable) override;
+  void onHeard(Connection& connection, bool sound) override;
   void onReused(Connection& connection, Micros rested, bool dead) override;
   Connection& connect(Engine& e, bool costly);
   void makeRoom();
