Readers of cells without writers read their part

Fault: weighCells clamps the weight of a reader without answering memory beside it to kPullMin.

Change: a cell with no answering memory at all weighs 0.6: it jams no writers of its own. Others as before.

--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -48,6 +48,7 @@
 // Bounds of a reader's weight in the hash.
 constexpr double kPullMin = 0.1;
 constexpr double kPullMax = 1.4;
+constexpr double kPullFar = 0.6;  // of a reader whose cell has no answering memory at all
 constexpr double kHomeWeight =
     0.1;                            // of a read, in the share of a beginning that its home is thought to keep
 constexpr double kHashGuard = 0.6;  // share of the time left to the aim that a home's queue may take
@@ -529,7 +530,9 @@
   }
 
   // A reader's weight in the hash: answering memory for each reader of its cell, over the fleet's. Guards
-  // against cells whose readers would hand over more than their writers can answer.
+  // against cells whose readers would hand over more than their writers can answer. A cell without any jams
+  // no writers of its own, as its states go to all others; guards against half of the readers left idle where
+  // there are fewer writers than cells. Harm: more states cross links, which may be slow.
   void weighCells() {
     std::map<std::uint64_t, std::pair<double, double>> cells;  // readers, answering memory
     std::pair<double, double> all;
@@ -542,7 +545,7 @@
     for (auto& [id, s] : servers_) {
       const auto& [readers, memory] = cells[s.info.cell];
       const double pull = memory / std::max(1.0, readers) / std::max(1.0, fair);
-      s.pull = s.role == Role::reader ? std::clamp(pull, kPullMin, kPullMax) : 1;
+      s.pull = s.role != Role::reader ? 1 : memory > 0 ? std::clamp(pull, kPullMin, kPullMax) : kPullFar;
     }
   }
 
--- a/tests/reading_test.cpp
+++ b/tests/reading_test.cpp
@@ -286,5 +286,23 @@
   EXPECT_EQ(d.count<Send>(1), 1);
 }
 
+// Fewer writers than cells: readers without a writer beside them got a tenth of a reader's part, and half of
+// the fleet's reading lay idle. They get less than others, as their states cross links, but a true part.
+TEST(Reading, ACellWithoutWritersReadsItsPart) {
+  Driver d(settings());
+  std::vector<ServerEntry> fleet;
+  for (std::uint64_t id = 1; id <= 4; ++id) fleet.push_back(server(id, kReader, 0));
+  for (std::uint64_t id = 5; id <= 8; ++id) fleet.push_back(server(id, kReader, 1));
+  fleet.push_back(server(11, kWriter, 0));
+  d.list(fleet);
+  int bare = 0;
+  for (std::uint64_t id = 1; id <= 200; ++id) {
+    bare += d.run(d.request(id)) >= 5 ? 1 : 0;
+    d.pass(500 * kMs);
+  }
+  EXPECT_GT(bare, 200 * 0.2);  // 0.6 of 2.0 is 60; a tenth was 13
+  EXPECT_LT(bare, 200 * 0.45);
+}
+
 }  // namespace
 }  // namespace garnethook::test
