Half of a request's own read is taken for certain when hope is weighed

Fault: Brain::hopeful leaves 0.3 of the time to the aim for what may go wrong, and takes that of the request's own read too, though the aim grows with the prompt; at idle readers a prompt of over 32,000 tokens was refused for its length alone (settings of the tests).

Change: half of the own read is taken off both sides of the comparison.

--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -53,6 +53,7 @@
     0.1;                            // of a read, in the share of a beginning that its home is thought to keep
 constexpr double kHashGuard = 0.6;  // share of the time left to the aim that a home's queue may take
 constexpr double kHope = 0.7;  // of the time left to the aim: up to this a first token is worth trying for
+constexpr double kSure = 0.5;  // of the own read's time: taken for certain, so that no room is left for it
 // What a refused client is told to wait: at least this share of the smallest aim, and the part drawn by lot.
 constexpr double kRetryLeast = 0.1;
 constexpr double kRetrySpread = 0.5;
@@ -725,15 +726,17 @@
     f.predicted = readCost(r, s);
     const Server* writer = pickWriter(r, s.info.cell, kEntryRoom);
     const double first = writer ? firstToken(*writer) : fleetFirstToken();
-    if (!hopeful(r, f.predicted + first, hopeUntil(r)) || !writer) return end(r, true);
+    if (!hopeful(r, f.predicted + first, f.work, hopeUntil(r)) || !writer) return end(r, true);
     send(r, f, patience(r, f, kReadPatience));
   }
 
   // Without hope of a timely first token, at the writer that it would get by now, a request only makes those
   // behind it late as well; refusing it is cheap, and its client may come again. With no writer to be had
-  // memory has run out, which tells of a jam before first tokens do. Guards against jams of any cause.
-  bool hopeful(Request& r, double time, Micros until) const {
-    r.excess = time - kHope * asDouble(until - now_);
+  // memory has run out, which tells of a jam before first tokens do. Guards against jams of any cause. What
+  // is uncertain is the wait more than the own read, of which only a part needs room; guards against refusing
+  // long prompts that would be in time. Harm: in a jam dear requests are let in that cheap ones could use.
+  bool hopeful(Request& r, double time, double own, Micros until) const {
+    r.excess = time - kSure * own - kHope * (asDouble(until - now_) - kSure * own);
     return r.excess <= 0;
   }
 
@@ -796,7 +799,7 @@
     f.work = readWork(r, *s);
     f.predicted = readCost(r, *s) + firstToken(*s);
     f.held = tokensHeld(r, *s);
-    if (!hopeful(r, f.predicted, r.aimAt)) return false;
+    if (!hopeful(r, f.predicted, f.work, r.aimAt)) return false;
     if (role == Role::writer && (r.attempts > 0 || fill(*s, f.held) > kEntryRoom)) return false;
     send(r, f, r.kind.effect == Effect::safe ? patience(r, f, kWritePatience) : 0);
     return true;
--- a/tests/reading_test.cpp
+++ b/tests/reading_test.cpp
@@ -304,5 +304,20 @@
   EXPECT_LT(bare, 200 * 0.45);
 }
 
+// The room that is left for what may go wrong was taken of the own read too, so long prompts were refused at
+// idle readers though their aim grows with their length.
+TEST(Reading, ALongPromptIsNotRefusedForItsOwnReadAlone) {
+  Driver d(settings());
+  d.list({server(1, kReader), server(11, kWriter)});
+  auto ask = d.request(1);
+  ask.promptTokens = 45'000;  // read in 2.7 s of the 3.7 s to its aim
+  d.give(ask);
+  EXPECT_EQ(d.sentTo(1), 1u);
+  auto second = d.request(2);  // waits for the first
+  second.promptTokens = 45'000;
+  d.give(second);
+  EXPECT_EQ(d.count<Refuse>(2), 1);
+}
+
 }  // namespace
 }  // namespace garnethook::test
