The test of a close right behind its request counts attempts, and fails without the code

Seen: with both defences taken out the test passed: attempts began (7 in place of 2) but were cancelled before their connections came up, so no engine saw them. It now counts the router's attempts too.

--- a/tests/path/platform_path_test.cpp
+++ b/tests/path/platform_path_test.cpp
@@ -142,6 +142,7 @@
   w.pass(300'000);
   EXPECT_EQ(w.node->front().connections(), 1u);
   EXPECT_EQ(w.reader.count("POST"), 1u);
+  EXPECT_EQ(w.node->router().counters().attempts, 2u);  // those of the first request
 }
 
 // Reading was paused behind an open request, and the close of a client that had sent much went unseen.
