States are let go when due though a kept connection may be dead; releases go by zones

Fault: Router::cutUnreached returned where the reach was 'written', as if the attempt had arrived.

Change: at the due time what earlier reads left is released while a read in doubt goes on; so is the state of a write in doubt, where releases spare what a writer has in hand (the platform's do; HeldStates::Options::sparesAwaited). A release goes to the holder if it was heard of, then to one engine of each zone in turn, own zone first, eight within the release time; those given up on come last, so that further rounds meet others.

--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -24,14 +24,14 @@
   return out;
 }
 
-bool Pool::sound(ServerId server) const {
+Word Pool::word(ServerId server) const {
   const auto at = engines_.find(server.value);
-  return at != engines_.end() && at->second.sound;
+  return at == engines_.end() ? Word::none : at->second.word;
 }
 
 void Pool::onHeard(Connection& connection, bool sound) {
   const auto at = engines_.find(connection.server().value);
-  if (at != engines_.end()) at->second.sound = sound;
+  if (at != engines_.end()) at->second.word = sound ? Word::heard : Word::lost;
 }
 
 bool Pool::full(ServerId server) const {
@@ -47,7 +47,7 @@
     const bool moved = e.spec.host != spec.host || e.spec.port != spec.port;
     if (moved || e.spec.startedAt != spec.startedAt) {
       closeIdle(e);
-      e.sound = false;
+      e.word = Word::none;
     }
     e.spec = spec;
     e.listed = true;
--- a/src/engine/pool.h
+++ b/src/engine/pool.h
@@ -11,6 +11,7 @@
 #include "engine/connection.h"
 #include "engine/options.h"
 #include "engine/reuse_policy.h"
+#include "engine/word.h"
 #include "membership/engine_list.h"
 #include "routing/types.h"
 
@@ -27,9 +28,7 @@
   const membership::EngineSpec* find(ServerId server) const;
   // Every engine that is listed and has an address.
   std::vector<ServerId> listed() const;
-  // Whether the latest news of the engine is a word from it, on a connection of this router; false where it
-  // was given up on since, or never heard.
-  bool sound(ServerId server) const;
+  Word word(ServerId server) const;
   // All connections that may be used for attempts are busy.
   bool full(ServerId server) const;
 
@@ -61,7 +60,7 @@
     bool listed = false;
     std::vector<std::unique_ptr<Connection>> idle;
     std::size_t busy = 0;
-    bool sound = false;
+    Word word = Word::none;
   };
   struct AttemptHash {
     std::size_t operator()(const routing::AttemptId& a) const {
--- a/src/platform/engine/platform_engines.cpp
+++ b/src/platform/engine/platform_engines.cpp
@@ -26,10 +26,10 @@
   std::vector<ReleaseCandidate> listed;
   for (const ServerId id : pool_.listed()) {
     const auto& spec = *pool_.find(id);
-    listed.push_back({id, spec.cell, spec.state == ServerState::running, pool_.sound(id)});
+    listed.push_back({id, spec.cell, spec.zone, spec.state == ServerState::running, pool_.word(id)});
   }
   auto release = std::make_shared<Release>();
-  release->route = releaseRoute(server, std::move(listed), request.value);
+  release->route = releaseRoute(server, ownZone_, std::move(listed), request.value);
   release->holder = server;
   release->request = request;
   release->workId = workId;
--- a/src/platform/engine/platform_engines.h
+++ b/src/platform/engine/platform_engines.h
@@ -16,12 +16,13 @@
 
 class PlatformEngines final : public routing::Engines {
  public:
-  // `releaseWithin`: what rule 5 gives for a release; 0: no limit told.
+  // `releaseWithin`: what rule 5 gives for a release; 0: no limit told. `ownZone`: as the list names it.
   PlatformEngines(net::Loop& loop, const engine::Options& options, provision::ReportMeanings meanings,
-                  Micros releaseWithin)
+                  Micros releaseWithin, std::string ownZone)
       : pool_(loop, options),
         meanings_(std::move(meanings)),
         hedge_(releaseHedge(releaseWithin > 0 ? releaseWithin : options.controlTimeout)),
+        ownZone_(std::move(ownZone)),
         timers_(loop) {}
   // Before the first call of any other.
   void setEvents(routing::EngineEvents& events) { events_ = &events; }
@@ -52,6 +53,7 @@
   engine::Pool pool_;
   provision::ReportMeanings meanings_;
   Micros hedge_;
+  std::string ownZone_;
   timing::OwnedTimers timers_;
   routing::EngineEvents* events_ = nullptr;
 };
--- a/src/platform/engine/release_route.h
+++ b/src/platform/engine/release_route.h
@@ -1,58 +1,70 @@
 // At which engines a release is tried, and when the next one is. Free of I/O.
 //
 // Any engine takes a release and frees what all of them hold for the request, so one that can't be reached
-// need not be waited for: after the engine that holds the state, others are asked, those of its cell first
-// (what they hold is theirs to look after too), then any. Those that this router has heard from since it last
-// gave up on them come before all others: where a zone is lost or cut off, the holder and its whole cell may
-// be silent. Which of equal ones comes first differs between requests, so that a vanished reader's releases
-// don't all fall on one engine.
+// need not be waited for: after the engine that holds the state others are asked, one of each zone in turn,
+// this router's own zone first. Guards against a zone that is lost or cut off, where the holder, its cell and
+// all that was heard of there a moment ago are silent. Within a zone those that this router has heard come
+// first, then those that it never met, then those that it gave up on, so that each further round of the same
+// release meets others; of equal ones those of the holder's cell (what they hold is theirs to look after
+// too). Which of equal ones comes first differs between requests, so that a vanished reader's releases don't
+// all fall on one engine.
 #pragma once
 
 #include <algorithm>
 #include <cstdint>
-#include <string>
+#include <map>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "brain.h"
+#include "engine/word.h"
 
 namespace garnethook::platform {
 
 struct ReleaseCandidate {
   ServerId server;
-  std::string cell;
+  std::string_view cell;
+  std::string_view zone;
   bool running = true;
-  bool sound = true;  // the latest news of it is a word from it
+  engine::Word word = engine::Word::heard;
 };
 
-constexpr std::size_t kReleaseTargets = 3;
-
 // How long one engine is waited for before the next is asked as well. An answer takes a few milliseconds, and
-// all three must have been asked within the time that rule 5 gives.
-inline Micros releaseHedge(Micros releaseWithin) { return std::max<Micros>(1, releaseWithin / 8); }
+// all must have been asked within the time that rule 5 gives.
+constexpr std::size_t kReleaseTargets = 8;
+inline Micros releaseHedge(Micros releaseWithin) {
+  return std::max<Micros>(1, releaseWithin / static_cast<Micros>(kReleaseTargets));
+}
 
-inline std::vector<ServerId> releaseRoute(ServerId holder, std::vector<ReleaseCandidate> listed,
-                                          std::uint64_t request) {
-  std::string cell;
-  bool known = false;
-  for (const auto& c : listed)
-    if (c.server == holder) {
-      cell = c.cell;
-      known = true;
-    }
+// At most kReleaseTargets of those listed, each once, in the order in which they are to be asked.
+inline std::vector<ServerId> releaseRoute(ServerId holder, std::string_view ownZone,
+                                          std::vector<ReleaseCandidate> listed, std::uint64_t request) {
+  const auto known =
+      std::find_if(listed.begin(), listed.end(), [&](const auto& c) { return c.server == holder; });
+  const bool cellKnown = known != listed.end();
+  const std::string_view cell = cellKnown ? known->cell : std::string_view();
   std::sort(listed.begin(), listed.end(), [](const auto& a, const auto& b) { return a.server < b.server; });
   if (!listed.empty())
     std::rotate(listed.begin(), listed.begin() + static_cast<std::ptrdiff_t>(request % listed.size()),
                 listed.end());
-  std::stable_sort(listed.begin(), listed.end(), [&](const auto& a, const auto& b) {
-    const auto rank = [&](const auto& c) {
-      return (c.sound ? 0 : 8) + (c.server == holder ? 0 : 4) + (c.running ? 0 : 2) +
-             (known && c.cell == cell ? 0 : 1);
-    };
-    return rank(a) < rank(b);
-  });
+  const auto rank = [&](const ReleaseCandidate& c) {
+    return static_cast<int>(c.word) * 8 + (c.server == holder ? 0 : 4) + (c.running ? 0 : 2) +
+           (cellKnown && c.cell == cell ? 0 : 1);
+  };
+  std::stable_sort(listed.begin(), listed.end(),
+                   [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
   std::vector<ServerId> out;
+  const auto room = [&] { return out.size() < kReleaseTargets; };
+  std::map<std::pair<bool, std::string_view>, std::vector<ServerId>> zones;  // own zone first
   for (const auto& c : listed)
-    if (out.size() < kReleaseTargets) out.push_back(c.server);
+    if (c.server == holder && c.word == engine::Word::heard)
+      out.push_back(c.server);
+    else
+      zones[{c.zone != ownZone, c.zone}].push_back(c.server);
+  for (std::size_t turn = 0; room() && turn < listed.size(); ++turn)
+    for (const auto& [zone, servers] : zones)
+      if (turn < servers.size() && room()) out.push_back(servers[turn]);
   return out;
 }
 
--- a/src/platform/node/node.cpp
+++ b/src/platform/node/node.cpp
@@ -22,6 +22,11 @@
   return pages * 4096;
 }
 
+std::string ownZone(const provision::Provision& provision) {
+  const std::size_t own = provision.settings.ownZone;
+  return own < provision.zoneNames.size() ? provision.zoneNames[own] : std::string();
+}
+
 }  // namespace
 
 routing::Options Node::routingOptions(const PlatformConfig& config, const Budget& budget) {
@@ -36,6 +41,7 @@
   out.streams.margin = 0;
   out.streams.deadlineEnds = false;
   out.held.releaseWithin = std::max<Micros>(1, config.provision.settings.releaseWithin);
+  out.held.sparesAwaited = true;
   return out;
 }
 
@@ -65,7 +71,7 @@
       budget_(share(config_.limits)),
       names_{config_.provision.kindNames, config_.provision.zoneNames},
       engines_(loop, engineOptions(config_, budget_), config_.provision.report,
-               config_.provision.settings.releaseWithin),
+               config_.provision.settings.releaseWithin, ownZone(config_.provision)),
       drainAlarm_(loop),
       reportAlarm_(loop),
       startedAt_(loop.now()) {
--- a/src/routing/held_states.cpp
+++ b/src/routing/held_states.cpp
@@ -11,6 +11,26 @@
   at->second.earlier = !first;
 }
 
+std::vector<HeldStates::Call> HeldStates::releaseOthers(RequestId request, ServerId reader, Micros now) {
+  const Key key{request, reader};
+  const auto own = held_.extract(key);
+  auto out = release(request, now);
+  if (!own) return out;
+  if (own.mapped().earlier && options_.sparesAwaited) out.push_back({reader, request});
+  held_[key] = {.since = now, .earlier = own.mapped().earlier};
+  return out;
+}
+
+std::vector<HeldStates::Call> HeldStates::releaseInDoubt(RequestId request, Micros now) {
+  std::vector<Call> out;
+  if (!options_.sparesAwaited) return out;
+  for (auto at = held_.lower_bound({request, ServerId{0}}); at != held_.end() && at->first.first == request;
+       ++at)
+    if (calls_.try_emplace(at->first, Release{.since = now, .again = 0, .tries = 1}).second)
+      out.push_back({at->first.second, request});
+  return out;
+}
+
 void HeldStates::outcome(RequestId request, Micros now) {
   for (auto at = held_.lower_bound({request, ServerId{0}}); at != held_.end() && at->first.first == request;
        ++at)
@@ -30,7 +50,10 @@
   const auto at = held_.find({request, reader});
   if (at != held_.end() && !std::exchange(at->second.earlier, false)) held_.erase(at);
 }
-void HeldStates::consumed(RequestId request, ServerId reader) { held_.erase({request, reader}); }
+void HeldStates::consumed(RequestId request, ServerId reader) {
+  held_.erase({request, reader});
+  calls_.erase({request, reader});
+}
 
 bool HeldStates::knows(RequestId request) const {
   const auto has = [&](const auto& items) {
--- a/src/routing/held_states.h
+++ b/src/routing/held_states.h
@@ -25,6 +25,7 @@
     int tries = 40;                  // of one release; then the reader's own time-out is relied on
     Micros pause = 100'000;          // before the second try; doubled up to half of releaseWithin, so that a
                                      // reader that can be reached again is told within that time
+    bool sparesAwaited = false;      // a release leaves alone what a write at an engine waits for
   };
   struct Call {
     ServerId server;
@@ -35,6 +36,10 @@
   // A read of the request went to the reader. A release of an earlier read of it there is not tried again: it
   // could let go of the new state.
   void readSent(RequestId request, ServerId reader, Micros now);
+  // The time of what earlier reads may have left is over while a read at the reader is out that may never
+  // have arrived: the calls to be made now. At that reader there is one only where releases spare what is
+  // awaited, and it is not tried again.
+  std::vector<Call> releaseOthers(RequestId request, ServerId reader, Micros now);
   // The read is known to have left nothing (the reader turned it away, or was never reached).
   void nothingLeft(RequestId request, ServerId reader);
   // A writer has begun to answer: the fetched state's reader has let go by itself.
@@ -44,6 +49,9 @@
   // When what is held for the request has to be taken or let go, unless an attempt has reached an engine by
   // then; nothing where nothing is held.
   std::optional<Micros> dueBy(RequestId request) const;
+  // The time of what is held is over while a write is out that may never have arrived. Where a release spares
+  // what an attempt waits for, the calls to be made now; what it spared is held all the same.
+  std::vector<Call> releaseInDoubt(RequestId request, Micros now);
   // The request needs its states no more: the calls to be made now.
   std::vector<Call> release(RequestId request, Micros now);
   // How a call ended. Failed ones are due again after the pause, up to the tries.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -249,7 +249,7 @@
     });
   if (const auto due = held_.dueBy(a.id))
     out.unreached = timers_.after(std::max<Micros>(0, *due - out.sentAt),
-                                  [this, attempt = AttemptId{a.id, out.number}] { cutUnreached(attempt); });
+                                  [this, attempt = AttemptId{a.id, out.number}] { stateDue(attempt); });
   life->out = out;
   if (job == Job::read) {
     held_.readSent(a.id, a.server, out.sentAt);
@@ -268,13 +268,22 @@
   engines_.begin(order);
 }
 
-// Rule 5: what is held for a request may not wait longer for connections to come up. The attempt ends, and
-// with it the time of the state: the module lets go of it.
-void Router::cutUnreached(AttemptId attempt) {
+// Rule 5: the time of what is held for a request is over, and the attempt that is out may not have arrived.
+// One whose connection has not come up ends, and what is held is let go of. One that went out on a connection
+// kept from before, which has given no sign since and may be dead, is waited for: what earlier reads left is
+// let go of while a read is out, and the state while a write is, where a release spares what an engine has in
+// hand. Guards against connections that died unseen, in a cut above all.
+void Router::stateDue(AttemptId attempt) {
   Life* life = find(attempt.request);
   if (life == nullptr || !life->out || life->out->number != attempt.number || life->out->started) return;
-  if (engines_.reach(attempt) != Reach::nowhere) return;
-  if (life->out->job == Job::read) { callReleases(held_.release(attempt.request, timers_.now())); }
+  const Reach reach = engines_.reach(attempt);
+  if (reach == Reach::engine) return;
+  const Micros now = timers_.now();
+  const bool reading = life->out->job == Job::read;
+  if (reach == Reach::written)
+    return callReleases(reading ? held_.releaseOthers(attempt.request, life->out->server, now)
+                                : held_.releaseInDoubt(attempt.request, now));
+  if (reading) callReleases(held_.release(attempt.request, now));
   endAttempt(attempt.request, *life, Outcome::connectFailed, false);
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -141,7 +141,7 @@
   void endAttempt(RequestId id, Life& life, Outcome outcome, bool last);
   void breakStream(RequestId id, Life& life, Cause cause, Outcome outcome, const std::string& text);
   void guardStream(RequestId id);
-  void cutUnreached(AttemptId attempt);
+  void stateDue(AttemptId attempt);
   void settle();
   void forgetWork(RequestId id);
   void callReleases(const std::vector<HeldStates::Call>& calls);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -295,27 +295,54 @@
   EXPECT_EQ(heard2.ends, 1);
 }
 
+std::vector<std::uint64_t> numbers(const std::vector<ServerId>& route) {
+  std::vector<std::uint64_t> out;
+  for (const ServerId id : route) out.push_back(id.value);
+  return out;
+}
+
 TEST(ReleaseRoute, TheHolderThenItsCellThenOthersThatRun) {
-  const std::vector<ReleaseCandidate> all{{{1}, "a"}, {{2}, "a"}, {{3}, "b"}, {{4}, "b", false}};
+  using engine::Word;
+  const std::vector<ReleaseCandidate> all{
+      {{1}, "a", "z"}, {{2}, "a", "z"}, {{3}, "b", "z"}, {{4}, "b", "z", false}};
   for (std::uint64_t request = 0; request < 9; ++request) {
-    const auto route = releaseRoute({2}, all, request);
-    ASSERT_EQ(route.size(), kReleaseTargets);
-    EXPECT_EQ(route[0].value, 2u);
-    EXPECT_EQ(route[1].value, 1u);
-    EXPECT_EQ(route[2].value, 3u);
+    EXPECT_EQ(numbers(releaseRoute({2}, "z", all, request)), (std::vector<std::uint64_t>{2, 1, 3, 4}));
     auto silent = all;  // the holder and its cell are not heard of any more
-    for (auto& c : silent) c.sound = c.cell != all[0].cell;
-    const auto elsewhere = releaseRoute(all[0].server, silent, request);
-    ASSERT_FALSE(elsewhere.empty());
-    const auto first =
-        std::find_if(silent.begin(), silent.end(), [&](const auto& c) { return c.server == elsewhere[0]; });
-    EXPECT_TRUE(first->sound);
-    const auto gone = releaseRoute({9}, all, request);  // the holder is no longer listed
-    ASSERT_EQ(gone.size(), 3u);
-    EXPECT_EQ(std::count(gone.begin(), gone.end(), ServerId{4}), 0);
+    for (auto& c : silent) c.word = c.cell == "a" ? Word::lost : Word::heard;
+    EXPECT_EQ(numbers(releaseRoute({1}, "z", silent, request)), (std::vector<std::uint64_t>{3, 4, 1, 2}));
+    silent[2].word = Word::none;  // never met: before those that were given up on
+    EXPECT_EQ(numbers(releaseRoute({1}, "z", silent, request)), (std::vector<std::uint64_t>{4, 3, 1, 2}));
+    const auto gone = numbers(releaseRoute({9}, "z", all, request));  // the holder is no longer listed
+    ASSERT_EQ(gone.size(), 4u);
+    EXPECT_EQ(gone.back(), 4u);
+  }
+  EXPECT_NE(releaseRoute({9}, "z", all, 0)[0], releaseRoute({9}, "z", all, 1)[0]);
+  EXPECT_TRUE(releaseRoute({1}, "z", {}, 0).empty());
+}
+
+// Seen in a cut between zones: a router asked the holder's cell in the other zone in each round, for three
+// seconds, while engines of its own zone would have answered.
+TEST(ReleaseRoute, EachZoneHasItsTurnTheOwnOneFirst) {
+  std::vector<ReleaseCandidate> all;
+  for (std::uint64_t i = 1; i <= 30; ++i)
+    all.push_back({{i}, i <= 10 ? "far" : "near", i <= 20 ? "other" : "own", true, engine::Word::heard});
+  for (std::uint64_t request = 0; request < 30; ++request) {
+    const auto route = numbers(releaseRoute({5}, "own", all, request));
+    ASSERT_EQ(route.size(), kReleaseTargets);
+    EXPECT_EQ(route[0], 5u);
+    EXPECT_GT(route[1], 20u);
+    EXPECT_LE(route[2], 20u);
+    EXPECT_EQ(std::count_if(route.begin(), route.end(), [](auto id) { return id > 20; }), 4);
+    EXPECT_EQ(std::set(route.begin(), route.end()).size(), route.size());
+    // What was given up on is met again only after all others of its zone.
+    auto later = all;
+    for (auto& c : later)
+      if (std::find(route.begin(), route.end(), c.server.value) != route.end()) c.word = engine::Word::lost;
+    for (const auto id : numbers(releaseRoute({5}, "own", later, request)))
+      EXPECT_EQ(std::find(route.begin(), route.end(), id), route.end());
   }
-  EXPECT_NE(releaseRoute({9}, all, 0)[0], releaseRoute({9}, all, 1)[0]);
-  EXPECT_TRUE(releaseRoute({1}, {}, 0).empty());
+  // All are asked while the time for a release runs.
+  EXPECT_LE(static_cast<Micros>(kReleaseTargets - 1) * releaseHedge(500'000), 500'000);
 }
 
 TEST(Reuse, IsFreeUntilAKeptConnectionDies) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -238,17 +238,84 @@
   EXPECT_EQ(engines.begun.back().job, Job::read);
 }
 
-// What an earlier read may have left has its time too, when the next read's connection does not come up.
-TEST_F(RouterTest, WhatALostReadMayHaveLeftIsLetGoWhileTheNextFindsNoConnection) {
+// What an earlier read may have left has its time too, when the next read's connection does not come up, or
+// is one kept from before that died unseen (seen in a cut between zones).
+class LostReadTest : public RouterTest, public testing::WithParamInterface<Reach> {};
+
+TEST_P(LostReadTest, WhatItMayHaveLeftIsLetGoWhileTheNextMayNotArrive) {
+  router.onList({ServerList::Kind::changes, {{.id = {4}, .zone = 0, .kind = 0}}});
   Ear ear;
-  ask(ear);
+  const auto id = ask(ear);
   timers.pass(10'000);
   const Micros lostAt = timers.time;
+  const ServerId first = engines.begun.back().server;
   router.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::reset});
   ASSERT_EQ(engines.begun.size(), 2u);
-  engines.reached = Reach::nowhere;
-  while (engines.released.empty() && timers.time < lostAt + 2'000'000) timers.pass(1'000);
-  EXPECT_LE(timers.time - lostAt, 510'000);
+  EXPECT_EQ(engines.begun.back().job, Job::read);
+  ASSERT_NE(engines.begun.back().server, first);
+  engines.reached = GetParam();
+  while (engines.released.empty() && timers.time < lostAt + 550'000) timers.pass(1'000);
+  if (GetParam() == Reach::engine) {
+    EXPECT_TRUE(engines.released.empty());
+  } else {
+    EXPECT_LE(timers.time - lostAt, 510'000);
+    EXPECT_EQ(std::count(engines.released.begin(), engines.released.end(), std::pair(first, id)), 1);
+  }
+  // One without a connection is over; one that may have arrived is waited for.
+  EXPECT_EQ(engines.cancelled.size(), GetParam() == Reach::nowhere ? 1u : 0u);
+  if (GetParam() == Reach::nowhere) return;
+  ASSERT_EQ(engines.begun.size(), 2u);
+  read();
+  EXPECT_EQ(engines.begun.back().job, Job::write);
+}
+
+INSTANTIATE_TEST_SUITE_P(Reaches, LostReadTest,
+                         testing::Values(Reach::nowhere, Reach::written, Reach::engine));
+
+class DoubtTest : public RouterTest {
+ protected:
+  DoubtTest() : doubtful(spared(), timers, engines, observer) {
+    doubtful.onList(
+        {ServerList::Kind::complete, {{.id = {1}, .zone = 0, .kind = 0}, {.id = {2}, .zone = 0, .kind = 1}}});
+    Ask a;
+    a.remaining = 5'000'000;
+    a.prompt = std::make_shared<const std::string>("p");
+    a.promptTokens = 100;
+    a.maxOutput = 10;
+    doubtful.take(a, ear);
+    timers.pass(10'000);
+    readAt = timers.time;
+    doubtful.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::readDone});
+  }
+  static Options spared() {
+    auto o = options();
+    o.held.sparesAwaited = true;
+    return o;
+  }
+  Ear ear;
+  Router doubtful;
+  Micros readAt = 0;
+};
+
+TEST_F(DoubtTest, AStateIsLetGoInTimeWhileAWriteMayBeOnADeadConnection) {
+  ASSERT_EQ(engines.begun.back().job, Job::write);
+  engines.reached = Reach::written;
+  timers.pass(490'000);
+  EXPECT_TRUE(engines.released.empty());
+  timers.pass(20'000);
+  ASSERT_EQ(engines.released.size(), 1u);
+  EXPECT_TRUE(engines.cancelled.empty());  // an engine may have it in hand: it is waited for
+  doubtful.onTokens(engines.begun.back().attempt, "x", 1, {});
+  doubtful.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::served});
+  ASSERT_TRUE(ear.ending);
+  EXPECT_EQ(ear.ending->final, Final::served);
+  EXPECT_EQ(engines.released.size(), 1u);
+}
+
+TEST_F(DoubtTest, AWriteThatCameThereIsNotDoubted) {
+  timers.pass(600'000);
+  EXPECT_TRUE(engines.released.empty());
+  EXPECT_FALSE(ear.ending);
 }
 
 TEST_F(RouterTest, NothingBeginsForAClientThatHasGone) {
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -120,6 +120,55 @@
   EXPECT_TRUE(held.release({1}, 0).empty());
 }
 
+// A write may be on a connection that is dead: what is held is let go of unless an engine has the write, and
+// stays held in case it has. A release that is still tried when the state is fetched has nothing left to do.
+TEST(HeldStates, WhatIsInDoubtIsReleasedAndStaysHeldWhereReleasesSpareWhatIsAwaited) {
+  routing::HeldStates plain({});
+  plain.readSent({1}, {7}, 0);
+  EXPECT_TRUE(plain.releaseInDoubt({1}, 500).empty());
+  EXPECT_EQ(plain.held(), 1u);
+
+  routing::HeldStates held({.tries = 3, .pause = 100, .sparesAwaited = true});
+  held.readSent({1}, {7}, 0);
+  held.readSent({2}, {7}, 0);
+  const auto calls = held.releaseInDoubt({1}, 500);
+  ASSERT_EQ(calls.size(), 1u);
+  EXPECT_TRUE(held.releaseInDoubt({1}, 510).empty());  // it is out
+  EXPECT_EQ(held.held(), 2u);
+  held.ended(calls[0], false, 600);
+  EXPECT_EQ(held.due(700).size(), 1u);
+  held.ended(calls[0], true, 710);
+  EXPECT_EQ(held.release({1}, 720).size(), 1u);  // once more at the end
+
+  held.releaseInDoubt({2}, 800);
+  held.consumed({2}, {7});
+  EXPECT_FALSE(held.knows({2}));
+}
+
+// A read may be on a connection that is dead: what earlier ones left is let go of, and the read goes on.
+TEST(HeldStates, WhatEarlierReadsLeftIsReleasedWhileAnotherIsOut) {
+  for (const bool spares : {false, true}) {
+    routing::HeldStates held({.pause = 100, .sparesAwaited = spares});
+    held.readSent({1}, {7}, 0);
+    held.readSent({1}, {8}, 400);
+    auto calls = held.releaseOthers({1}, {8}, 500);
+    ASSERT_EQ(calls.size(), 1u);
+    EXPECT_EQ(calls[0].server, ServerId{7});
+    EXPECT_EQ(held.held(), 1u);
+    EXPECT_EQ(held.dueBy({1}), 500'500);
+    held.ended(calls[0], false, 600);
+    EXPECT_EQ(held.due(700).size(), 1u);  // tried again
+
+    held.readSent({1}, {8}, 800);  // once more at the same reader: a later release could hit the new read
+    calls = held.releaseOthers({1}, {8}, 1000);
+    ASSERT_EQ(calls.size(), spares ? 1u : 0u);
+    if (spares) held.ended(calls[0], false, 1100);
+    EXPECT_TRUE(held.due(1'000'000).empty());
+    held.nothingLeft({1}, {8});
+    EXPECT_EQ(held.held(), 1u);  // the earlier one there may have left a state still
+  }
+}
+
 // Rule 5's time runs on while connections fail to come up, and starts anew once an attempt reached an engine.
 TEST(HeldStates, TheTimeOfWhatIsHeldRunsFromTheLastAttemptThatReachedAnEngine) {
   routing::HeldStates held({.releaseWithin = 500});
