A read sent anew goes on a new connection, so that a release need not hit it

Reads there take up to 3 s; one sent anew on a kept connection gives no sign for all that time, so 0.5 s after the first had ended what that had left was released (stateDue, Reach::written), and the release took the running read's state with it.

Change: Order::fresh: where an earlier read may have left a state, the next one goes on a connection of its own (engine::Reuse). Its coming up shows that the read arrives, and the time of what is held stops as the rule says; in a cut it does not come up, and the attempt ends when the state is due. One handshake more for each such read. The release in doubt stays for writes.

--- a/src/engine/http_engines.cpp
+++ b/src/engine/http_engines.cpp
@@ -35,7 +35,7 @@
   const std::string body = requestBody(order, options_.model);
   pool_.run(order.attempt, order.server,
             std::make_unique<AttemptExchange>(*events_, order.attempt, order.job, options_),
-            requestText(*spec, "POST", options_.completionsPath, order.workId, body), order.costly);
+            requestText(*spec, "POST", options_.completionsPath, order.workId, body), reuseFor(order));
 }
 
 void HttpEngines::control(ServerId server, std::string_view method, const std::string& path,
--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -83,11 +83,11 @@
   --idle_;
 }
 
-Connection& Pool::connect(Engine& e, bool costly) {
+Connection& Pool::connect(Engine& e, Reuse reuse) {
   std::unique_ptr<Connection> own;
-  while (!own && !e.idle.empty()) {
+  while (!own && reuse != Reuse::none && !e.idle.empty()) {
     // The one that rested least; where that is too long, no other will do.
-    if (!reuse_.mayReuse(e.idle.back()->rested(), costly, loop_.now())) break;
+    if (!reuse_.mayReuse(e.idle.back()->rested(), reuse == Reuse::careful, loop_.now())) break;
     own = std::move(e.idle.back());
     e.idle.pop_back();
     --idle_;
@@ -151,15 +151,15 @@
 }
 
 void Pool::run(ServerId server, std::unique_ptr<Exchange> exchange, std::string request, Micros limit) {
-  connect(engines_.at(server.value), false).run(std::move(exchange), std::move(request), limit);
+  connect(engines_.at(server.value), Reuse::usual).run(std::move(exchange), std::move(request), limit);
 }
 
 void Pool::run(routing::AttemptId attempt, ServerId server, std::unique_ptr<Exchange> exchange,
-               std::string request, bool costly) {
+               std::string request, Reuse reuse) {
   Engine& e = engines_.at(server.value);
   // An engine that others of its connections stand with refuses one by chance, and is asked once more.
   const bool alive = e.busy > 0 || !e.idle.empty();
-  Connection& c = connect(e, costly);
+  Connection& c = connect(e, reuse);
   c.attempt = attempt;
   attempts_[attempt] = &c;
   c.run(std::move(exchange), std::move(request), 0, alive);
--- a/src/engine/pool.h
+++ b/src/engine/pool.h
@@ -17,6 +17,10 @@
 
 namespace garnethook::engine {
 
+inline Reuse reuseFor(const routing::Order& order) {
+  return order.fresh ? Reuse::none : order.costly ? Reuse::careful : Reuse::usual;
+}
+
 class Pool final : private ConnectionOwner {
  public:
   Pool(net::Loop& loop, const Options& options) : loop_(loop), options_(options) {}
@@ -32,11 +36,11 @@
   // All connections that may be used for attempts are busy.
   bool full(ServerId server) const;
 
-  // On an idle connection or a new one; `limit` as for Connection::run. The engine must be found. `costly`:
-  // the request can't be sent again once it may have run (reuse_policy.h).
+  // On an idle connection or a new one; `limit` as for Connection::run. The engine must be found. `reuse`:
+  // whether a kept connection will do (reuse_policy.h).
   void run(ServerId server, std::unique_ptr<Exchange> exchange, std::string request, Micros limit);
   void run(routing::AttemptId attempt, ServerId server, std::unique_ptr<Exchange> exchange,
-           std::string request, bool costly = false);
+           std::string request, Reuse reuse = Reuse::usual);
   // Ends the attempt's exchange and its connection; nothing of it is told any more.
   void abandon(routing::AttemptId attempt);
   // Attempts that are not out, or whose engine is gone: nowhere.
@@ -71,7 +75,7 @@
   void onFree(Connection& connection, bool reusable) override;
   void onHeard(Connection& connection, bool sound) override;
   void onReused(Connection& connection, Micros rested, bool dead) override;
-  Connection& connect(Engine& e, bool costly);
+  Connection& connect(Engine& e, Reuse reuse);
   void makeRoom();
   void discard(std::unique_ptr<Connection> connection);
   void closeIdle(Engine& e);
--- a/src/engine/reuse_policy.h
+++ b/src/engine/reuse_policy.h
@@ -17,6 +17,9 @@
 
 namespace garnethook::engine {
 
+// What a request may be sent on: a kept connection as a rule, one that is good for certain, or a new one.
+enum class Reuse { usual, careful, none };
+
 class ReusePolicy {
  public:
   // How a request on a kept connection fared that had rested so long: `dead`, reset without a sign.
--- a/src/platform/engine/platform_engines.cpp
+++ b/src/platform/engine/platform_engines.cpp
@@ -19,7 +19,7 @@
   }
   pool_.run(order.attempt, order.server,
             std::make_unique<RelayExchange>(*events_, order.attempt, order.job, meanings_),
-            requestText(*spec, order), order.costly);
+            requestText(*spec, order), engine::reuseFor(order));
 }
 
 void PlatformEngines::release(ServerId server, RequestId request, const std::string& workId) {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -247,7 +247,8 @@
       if (late == nullptr || !late->out || late->out->number != attempt.number || late->out->started) return;
       endAttempt(attempt.request, *late, Outcome::timedOut, false);
     });
-  if (const auto due = held_.dueBy(a.id))
+  const auto due = held_.dueBy(a.id);
+  if (due)
     out.unreached = timers_.after(std::max<Micros>(0, *due - out.sentAt),
                                   [this, attempt = AttemptId{a.id, out.number}] { stateDue(attempt); });
   life->out = out;
@@ -263,6 +264,8 @@
       life->workId,
       job == Job::write ? life->handover : std::string_view(),
       job != Job::read && !mayRefuse(options_.settings.classes[life->ask.requestClass], {.mayHaveRun = true}),
+      // What an earlier read may have left waits for this one's arrival, or is let go of.
+      job == Job::read && due.has_value(),
       a.timeout > 0 ? a.timeout : life->usableUntil - out.sentAt};
   observer_.onAttempt(order);
   engines_.begin(order);
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -119,6 +119,7 @@
   std::string_view workId;    // the same for all attempts of the request, unique among all routers
   std::string_view handover;  // write: what the read returned for the fetch, as JSON text
   bool costly = false;        // can't be sent again once it may have run
+  bool fresh = false;         // on a new connection: it has to be known whether it arrives
   Micros timeout = 0;         // the router waits so long for the first sign
 };
 
--- a/tests/path/pool_test.cpp
+++ b/tests/path/pool_test.cpp
@@ -56,6 +56,27 @@
   EXPECT_EQ(pool.opened(), 2u);
 }
 
+// A request whose arrival has to show goes on a new connection, though a kept one is good.
+TEST(Pool, ANewConnectionIsMadeWhereNoKeptOneWillDo) {
+  for (const auto reuse : {engine::Reuse::usual, engine::Reuse::none}) {
+    LoopRunner w;
+    ScriptedEngine e(w.loop);
+    e.script = [](ScriptedEngine::Request& r) { r.stream->send(answer("mine")); };
+    engine::Pool pool(w.loop, {});
+    pool.update(only(Poco::Net::SocketAddress(e.address())));
+    Heard first, second;
+    pool.run({7}, std::make_unique<Listening>(first), kGet, 0);
+    ASSERT_TRUE(w.until([&] { return pool.idleConnections() == 1; }, 1'000'000));
+    e.script = nullptr;  // it takes the request and says nothing
+    pool.run({{1}, 0}, {7}, std::make_unique<Listening>(second), kGet, reuse);
+    ASSERT_TRUE(w.until([&] { return e.seen.size() == 2; }, 1'000'000));
+    EXPECT_EQ(pool.opened(), reuse == engine::Reuse::none ? 2u : 1u);
+    EXPECT_EQ(pool.reach({{1}, 0}),
+              reuse == engine::Reuse::none ? routing::Reach::engine : routing::Reach::written);
+    pool.abandon({{1}, 0});
+  }
+}
+
 // An engine that others of its connections stand with is dialled once more; one that none stands with is not.
 TEST(Pool, ARefusedConnectionIsDialledOnceMoreWhereOthersStand) {
   for (const bool standing : {true, false}) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -25,7 +25,7 @@
 
 struct HandEngines final : Engines {
   void begin(const Order& o) override {
-    begun.push_back({o.attempt, o.server, o.job, std::string(o.handover)});
+    begun.push_back({o.attempt, o.server, o.job, std::string(o.handover), o.fresh});
   }
   void cancel(AttemptId a) override { cancelled.push_back(a); }
   Reach reach(AttemptId) const override { return reached; }
@@ -36,6 +36,7 @@
     ServerId server;
     Job job;
     std::string handover;
+    bool fresh = false;
   };
   Reach reached = Reach::engine;
   std::vector<Begun> begun;
@@ -253,6 +254,8 @@
   ASSERT_EQ(engines.begun.size(), 2u);
   EXPECT_EQ(engines.begun.back().job, Job::read);
   ASSERT_NE(engines.begun.back().server, first);
+  EXPECT_FALSE(engines.begun.front().fresh);
+  EXPECT_TRUE(engines.begun.back().fresh);  // so that its arrival shows, and a release need not hit it
   engines.reached = GetParam();
   while (engines.released.empty() && timers.time < lostAt + 550'000) timers.pass(1'000);
   if (GetParam() == Reach::engine) {
