--- a/src/platform/node/node.cpp
+++ b/src/platform/node/node.cpp
@@ -199,6 +199,10 @@
                          {"number", order.attempt.number},
                          {"engine", nameOf(order.server)},
                          {"job", name(order.job)},
+                         {"opening", order.ask->shared},
+                         {"opening_tokens", order.ask->sharedTokens},
+                         {"prompt_tokens", order.ask->promptTokens},
+                         {"session", order.ask->session},
                          {"timeout_ms", order.timeout / 1000}});
 }
 
--- a/tests/path/hard_cases_test.cpp
+++ b/tests/path/hard_cases_test.cpp
@@ -136,7 +136,8 @@
                        [](auto& r) { return r.tokens == 1 || r.finals == 1; });
   }));
   while (asked < replies.size()) w.ask(replies[asked], "p #m" + std::to_string(asked), 60'000'000), ++asked;
-  w.pass(300'000);
+  // All have reached the router, however busy the machine: what it never took is not its to answer.
+  ASSERT_TRUE(w.until([&] { return w.router->router().counters().taken == replies.size(); }));
   bool drained = false;
   w.router->drain([&] { drained = true; });
   ASSERT_TRUE(w.until([&] { return drained; }, 5'000'000));
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -44,6 +44,14 @@
 }
 bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
 
+TEST(Provision, TheRoutersNumberIsReadWhereItIsTold) {
+  EXPECT_FALSE(parseProvision(kProvision).settings.self);
+  const std::string numbered = std::string(kProvision) + " me=2";
+  EXPECT_EQ(parseProvision(numbered).settings.self, 2u);
+  const std::string bad = std::string(kProvision) + " me=two";
+  EXPECT_THROW(parseProvision(bad), std::exception);
+}
+
 TEST(Provision, SettingsAreTranslated) {
   const auto p = parseProvision(kProvision);
   EXPECT_EQ(p.seed, 5u);
