The mean work of a cold server's turn is taken once a tick, not once a server

Need: Brain::giveTurns went through the arrivals of six seconds for each cold server at each tick; with a fleet that starts anew at once that is servers times requests.

Change: tick() takes the mean once.

--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -332,17 +332,15 @@
 
   // Turns come evenly, from a phase on that routers have by their numbers; so all of them together send
   // evenly.
-  void giveTurns(Server& s, Micros span) {
+  void giveTurns(Server& s, double windows, double meanWork) {
     if (!cold(s) || s.turnsOf != s.info.startedAt) {
       s.turnsOf = s.info.startedAt;
       s.turns.clear();
       s.turn = 1 - turnPhase(s.info.id);
     }
-    if (!cold(s) || set_.fallAfter <= 0 || arrived_.empty()) return;
-    const double mean = sum(arrived_, 0) / asDouble(std::ssize(arrived_));
-    s.turn += kColdTurns * set_.fallMultiple * set_.coldFrom *
-              std::max(0.0, usual_[static_cast<std::size_t>(s.role)]) / mean * asDouble(span) /
-              asDouble(set_.fallAfter);
+    if (!cold(s) || set_.fallAfter <= 0) return;
+    s.turn += windows * kColdTurns * set_.fallMultiple * set_.coldFrom *
+              std::max(0.0, usual_[static_cast<std::size_t>(s.role)]) / meanWork;
     for (; s.turn >= 1; --s.turn) s.turns.emplace_back(now_, 1);
     while (!s.turns.empty() && s.turns.front().first <= now_ - set_.fallAfter) s.turns.pop_front();
   }
@@ -1070,8 +1068,12 @@
     reads_.expire(now_ - kTableLife);
     measureUsual();
     measureFleet();
+    const double arrived = asDouble(std::ssize(arrived_));  // with none there is no demand, and no turn
+    const double meanWork = std::max(1.0, sum(arrived_, 0) / std::max(1.0, arrived));
+    const double windows =
+        arrived > 0 ? asDouble(now_ - tickedAt_) / std::max(1.0, asDouble(set_.fallAfter)) : 0;
     for (auto& [id, s] : servers_) {
-      giveTurns(s, now_ - tickedAt_);
+      giveTurns(s, windows, meanWork);
       for (auto* ledger : {&s.sends, &s.finished})
         while (!ledger->empty() && ledger->front().first < now_ - kLoadHorizon) ledger->pop_front();
       if (!set_.mayProbe || !s.suspect || !s.listed || s.probing || s.answeredProbe || now_ < s.trialAt)
