The pool's tests share the set-up of one kept connection

Need: the second reading found six lines twice, at the test of new connections and at that of waiting octets. Change: keepOne() holds them, and checks one thing more: that the first exchange ended. No check is looser.

--- a/tests/path/pool_test.cpp
+++ b/tests/path/pool_test.cpp
@@ -39,16 +39,23 @@
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// One exchange with an engine that answers "mine", after which its connection is kept.
+void keepOne(LoopRunner& w, ScriptedEngine& e, engine::Pool& pool) {
+  e.script = [](ScriptedEngine::Request& r) { r.stream->send(answer("mine")); };
+  pool.update(only(Poco::Net::SocketAddress(e.address())));
+  Heard first;
+  pool.run({7}, std::make_unique<Listening>(first), kGet, 0);
+  ASSERT_TRUE(w.until([&] { return pool.idleConnections() == 1; }, 1'000'000));
+  EXPECT_EQ(first.ends, 1);
+}
+
 // Octets that came unasked and were not read yet must not become the next answer.
 TEST(Pool, AKeptConnectionOnWhichOctetsWaitIsNotUsed) {
   LoopRunner w;
   ScriptedEngine e(w.loop);
-  e.script = [](ScriptedEngine::Request& r) { r.stream->send(answer("mine")); };
   engine::Pool pool(w.loop, {});
-  pool.update(only(Poco::Net::SocketAddress(e.address())));
-  Heard first, second;
-  pool.run({7}, std::make_unique<Listening>(first), kGet, 0);
-  ASSERT_TRUE(w.until([&] { return pool.idleConnections() == 1; }, 1'000'000));
+  Heard second;
+  ASSERT_NO_FATAL_FAILURE(keepOne(w, e, pool));
   e.seen[0].stream->send(answer("foreign"));  // and in the same turn, before the loop sees it:
   pool.run({7}, std::make_unique<Listening>(second), kGet, 0);
   ASSERT_TRUE(w.until([&] { return second.ends == 1; }, 1'000'000));
@@ -61,12 +68,9 @@
   for (const auto reuse : {engine::Reuse::usual, engine::Reuse::none}) {
     LoopRunner w;
     ScriptedEngine e(w.loop);
-    e.script = [](ScriptedEngine::Request& r) { r.stream->send(answer("mine")); };
     engine::Pool pool(w.loop, {});
-    pool.update(only(Poco::Net::SocketAddress(e.address())));
-    Heard first, second;
-    pool.run({7}, std::make_unique<Listening>(first), kGet, 0);
-    ASSERT_TRUE(w.until([&] { return pool.idleConnections() == 1; }, 1'000'000));
+    Heard second;
+    ASSERT_NO_FATAL_FAILURE(keepOne(w, e, pool));
     e.script = nullptr;  // it takes the request and says nothing
     pool.run({{1}, 0}, {7}, std::make_unique<Listening>(second), kGet, reuse);
     ASSERT_TRUE(w.until([&] { return e.seen.size() == 2; }, 1'000'000));
