Engines get the client's further header fields, such as a keyed request's key

Need: with a class of effect keyed clients send Idempotency-Key, by which engines know a repeat. The router wrote the head anew and passed on method, path, query, body and id alone (requestText in platform/engine/protocol.cpp), so the key was lost.

Change: readRequest keeps the fields that are not of one connection (RFC 9110 section 7.6.1) nor written anew, and they go on to engines as they came. Content-Type is the client's where it tells one.

Intake.FurtherFieldsGoOnAndThoseOfTheConnectionDoNot and Protocol.TheClientsRequestIsPassedOnAsItCame fail without it.

--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -46,6 +46,11 @@
   return std::nullopt;
 }
 
+bool listHas(std::string_view list, std::string_view member) {
+  const auto all = members(list);
+  return std::find(all.begin(), all.end(), member) != all.end();
+}
+
 bool MessageParser::fail(std::string_view text) {
   state_ = State::failed;
   error_ = text;
--- a/src/http1/message.h
+++ b/src/http1/message.h
@@ -17,6 +17,8 @@
 };
 using Fields = std::vector<Field>;
 std::optional<std::string_view> find(const Fields& fields, std::string_view name);
+// Whether a comma list names `member`, which is in lower case.
+bool listHas(std::string_view list, std::string_view member);
 
 struct Head {
   std::string method;  // requests
--- a/src/platform/engine/protocol.cpp
+++ b/src/platform/engine/protocol.cpp
@@ -29,11 +29,12 @@
   const auto& ask = *order.ask;
   const std::string_view body = ask.body ? std::string_view(*ask.body) : std::string_view();
   std::string out;
-  out.reserve(body.size() + ask.target.size() + 256);
+  out.reserve(body.size() + ask.target.size() + ask.fields.size() + 256);
   out.append("POST ").append(ask.target);
   host(out, engine).append("X-Trace-Id: ").append(order.workId);
   out.append("\r\nX-Expires-In-Ms: ").append(std::to_string(std::max<Micros>(1, order.timeout / 1000)));
-  out.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(std::to_string(body.size()));
+  out.append("\r\n").append(ask.fields);
+  out.append("Content-Length: ").append(std::to_string(body.size()));
   return out.append("\r\n\r\n").append(body);
 }
 
--- a/src/platform/front/intake.cpp
+++ b/src/platform/front/intake.cpp
@@ -1,6 +1,7 @@
 #include "platform/front/intake.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -77,6 +78,41 @@
   return {};
 }
 
+// Fields of one connection (RFC 9110 section 7.6.1), and those that are written anew for each engine.
+bool endsHere(std::string_view name) {
+  constexpr std::array<std::string_view, 14> kOwn{"connection",
+                                                  "keep-alive",
+                                                  "proxy-connection",
+                                                  "proxy-authenticate",
+                                                  "proxy-authorization",
+                                                  "te",
+                                                  "trailer",
+                                                  "transfer-encoding",
+                                                  "upgrade",
+                                                  "expect",
+                                                  "host",
+                                                  "content-length",
+                                                  "x-trace-id",
+                                                  "x-expires-in-ms"};
+  return std::find(kOwn.begin(), kOwn.end(), name) != kOwn.end();
+}
+
+// What else a client says of its request, such as the key by which engines know a repeat, goes on as it came.
+std::string furtherFields(const http1::Fields& fields) {
+  const auto named = [&](std::string_view name) {
+    return std::any_of(fields.begin(), fields.end(), [&](const auto& field) {
+      return field.name == "connection" && http1::listHas(field.value, name);
+    });
+  };
+  std::string out;
+  for (const auto& field : fields) {
+    if (!named(field.name) && !endsHere(field.name))
+      out.append(field.name).append(": ").append(field.value).append("\r\n");
+  }
+  if (!http1::find(fields, "content-type")) out.append("content-type: application/json\r\n");
+  return out;
+}
+
 }  // namespace
 
 std::variant<routing::Ask, Refusal> readRequest(const http1::Head& head, std::string body,
@@ -123,6 +159,7 @@
   }
   ask.sharedTokens = std::min(ask.sharedTokens, ask.promptTokens);
   ask.target = head.target;
+  ask.fields = furtherFields(head.fields);
   ask.body = std::make_shared<const std::string>(std::move(body));
   return ask;
 }
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -36,6 +36,7 @@
   // Where engines get the client's own request as it came, in place of one made for them:
   std::string workId;  // empty: the router makes one
   std::string target;  // path and query
+  std::string fields;  // further header fields for engines, each a line with its CRLF
   std::shared_ptr<const std::string> body;
 };
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -187,13 +187,14 @@
   routing::Ask ask;
   ask.target = "/v1/chat/completions?a=b";
   ask.body = std::make_shared<const std::string>(R"({"stream":true})");
+  ask.fields = "idempotency-key: f1b8\r\n";
   membership::EngineSpec engine;
   engine.host = "127.0.0.9";
   engine.port = 90;
   routing::Order order{.ask = &ask, .workId = "9b1f", .timeout = 1'234'567};
   EXPECT_EQ(requestText(engine, order),
             "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: 127.0.0.9:90\r\nX-Trace-Id: 9b1f\r\n"
-            "X-Expires-In-Ms: 1234\r\nContent-Type: application/json\r\nContent-Length: "
+            "X-Expires-In-Ms: 1234\r\nidempotency-key: f1b8\r\nContent-Length: "
             "15\r\n\r\n{\"stream\":true}");
   EXPECT_EQ(callText(engine, "DELETE", releaseTarget("9b1f")),
             "DELETE /v1/holds/9b1f HTTP/1.1\r\nHost: 127.0.0.9:90\r\nContent-Length: 0\r\n\r\n");
@@ -382,6 +383,32 @@
   return std::holds_alternative<Refusal>(out) ? std::get<Refusal>(out).status : 200;
 }
 
+// Engines know the repeat of a keyed request by a field of its client's.
+TEST(Intake, FurtherFieldsGoOnAndThoseOfTheConnectionDoNot) {
+  const auto fieldsOf = [](http1::Fields more) {
+    const auto out = readRequest(request(std::move(more)), "{}", provisionOf());
+    return std::get<routing::Ask>(out).fields;
+  };
+  const std::string key = "idempotency-key: f1b8db70\r\n";
+  EXPECT_NE(fieldsOf({{"idempotency-key", "f1b8db70"}}).find(key), std::string::npos);
+  EXPECT_NE(fieldsOf({}).find("content-type: application/json\r\n"), std::string::npos);
+  const std::string typed = fieldsOf({{"content-type", "application/json; charset=utf-8"}});
+  EXPECT_NE(typed.find("content-type: application/json; charset=utf-8\r\n"), std::string::npos);
+  EXPECT_EQ(typed.find("content-type: application/json\r\n"), std::string::npos);
+  const std::string hops = fieldsOf({{"host", "a"},
+                                     {"connection", "x-hop, close,X-Other"},
+                                     {"x-hop", "1"},
+                                     {"x-other", "1"},
+                                     {"content-length", "2"},
+                                     {"transfer-encoding", "chunked"},
+                                     {"expect", "100-continue"},
+                                     {"te", "trailers"},
+                                     {"upgrade", "h2c"}});
+  for (const char* name : {"host", "connection", "x-hop", "x-other", "content-length", "transfer-encoding",
+                           "expect", "te", "upgrade", "x-trace-id", "x-expires-in-ms"})
+    EXPECT_EQ(("\r\n" + hops).find("\r\n" + std::string(name) + ":"), std::string::npos) << name;
+}
+
 TEST(Intake, AGoodRequestIsTaken) {
   const auto out = readRequest(request(), R"({"model":"chat"})", provisionOf());
   ASSERT_TRUE(std::holds_alternative<routing::Ask>(out));
