What is written to an engine is judged when its connection is up, and cut streams are not served

Found by reading every path that ends an attempt: - PlatformEngines::begin made the request's text when it was ordered; a connection may come up a whole connect time-out (and one redial) later. X-Expires-In-Ms then told more than the client had left, an engine that was told to drain meanwhile got new work after its grace, and a keyed request could be repeated after the window in which engines remember it. - An attempt that found no connection of the router's own free counted as one that had reached its engine: the time of what is held began anew (rule 5), and a hung engine counted as heard (Brain::full). - Pool::connect took the connection that had rested least, also one whose answer had just come; a second answer that follows some milliseconds later would be taken for the next request's. - RelayExchange::onEnd called a stream served that ended within an event, or by its connection's end without framing. - Watch::list only logged a list that could not be used; the next change carried the version past it, and what it told was never heard.

Change: a request's text is made when it is written (RequestWriter), which may also say that it must not be sent any more: the attempt ends as never begun. AttemptResult::left tells attempts that never left. Kept connections rest 20 ms before they are used again. Cut streams are resets.

Two tests of the pool and one of the path rest their connections first, as they want kept ones; their checks are the same.

--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -920,7 +920,7 @@
           streamTime(s.role) += kStreamWeight * (asDouble(now_ - f.startedAt) - streamTime(s.role));
         if (f.stage == Stage::whole) correct(r, f, event.foundTokens);
         return;
-      case Outcome::full: return full(r, s, f, event.stateMissing);
+      case Outcome::full: return full(r, s, f, event);
       case Outcome::notSent: return;
       case Outcome::connectFailed: strike(f.server, kStrikeConnect, "no connection"); break;
       case Outcome::reset:
@@ -964,10 +964,10 @@
 
   // Full is an answer: the server lives. Without a state it is the state that failed, by its reader's
   // death, a cut or a release, so the writer is not blamed and the prompt is read anew elsewhere.
-  void full(Request& r, Server& s, const Flight& f, bool stateMissing) {
-    s.heardAt = now_;
+  void full(Request& r, Server& s, const Flight& f, const AttemptEnded& event) {
+    if (event.arrived) s.heardAt = now_;
     cuts_.clear();
-    if (stateMissing && r.stateAt) {
+    if (event.stateMissing && r.stateAt) {
       r.failed.push_back(r.stateAt->id);
       r.stateAt.reset();
       return;
--- a/src/engine/connection.cpp
+++ b/src/engine/connection.cpp
@@ -21,17 +21,15 @@
                                           static_cast<net::StreamEvents&>(*this));
 }
 
-void Connection::run(std::unique_ptr<Exchange> exchange, std::string request, Micros limit, bool redial) {
+void Connection::run(std::unique_ptr<Exchange> exchange, RequestWriter request, Micros limit, bool redial) {
   exchange_ = std::move(exchange);
   answered_ = heard_ = false;
   redial_ = redial;
   reusedAfter_ = restedAt_ == 0 ? -1 : loop_.now() - restedAt_;
   timer_.stop();
   if (limit > 0) timer_.start(limit, [this] { fail(Outcome::timedOut, "no answer in time"); });
-  if (stream_->connected())
-    stream_->send(request);
-  else
-    request_ = std::move(request);
+  request_ = std::move(request);
+  if (stream_->connected()) write();
 }
 
 void Connection::abandon() {
@@ -46,7 +44,15 @@
   timer_.start(options_.idleTimeout, [this] { free(false); });
 }
 
-void Connection::onConnected() { stream_->send(std::exchange(request_, {})); }
+void Connection::onConnected() { write(); }
+
+void Connection::write() {
+  const auto text = std::exchange(request_, {})(loop_.now());
+  if (text) return stream_->send(*text);
+  loop_.post([this, alive = std::weak_ptr<bool>(alive_)] {  // the owner may be in the middle of run()
+    if (!alive.expired() && exchange_) fail(Outcome::connectFailed, "it was too late to send it");
+  });
+}
 
 void Connection::onOctets(std::string_view octets) {
   if (!exchange_) return free(false);  // octets that nobody asked for
--- a/src/engine/connection.h
+++ b/src/engine/connection.h
@@ -33,7 +33,7 @@
 
   // `limit`: the exchange fails with timedOut after it; 0: none. `redial`: a refused connection is tried once
   // more before it is told.
-  void run(std::unique_ptr<Exchange> exchange, std::string request, Micros limit, bool redial = false);
+  void run(std::unique_ptr<Exchange> exchange, RequestWriter request, Micros limit, bool redial = false);
   // Ends the exchange; nothing of it is told any more.
   void abandon();
   // Waits idle, and closes itself after the idle time-out.
@@ -54,6 +54,7 @@
 
  private:
   void onConnected() override;
+  void write();
   void onOctets(std::string_view octets) override;
   void onClosed(net::CloseCause cause) override;
   void onHead(const http1::Head& head) override;
@@ -73,7 +74,7 @@
   http1::MessageParser parser_;
   std::unique_ptr<Exchange> exchange_;
   std::unique_ptr<Exchange> muted_;  // maybe in the middle of a call
-  std::string request_;              // until connected
+  RequestWriter request_;            // until connected
   bool answered_ = false;
   bool heard_ = false;  // anything since the exchange began
   bool keepAlive_ = false;
--- a/src/engine/exchange.h
+++ b/src/engine/exchange.h
@@ -1,14 +1,24 @@
 // What is asked of an engine on one connection, and what is made of its answer.
 #pragma once
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "brain.h"
 #include "http1/message.h"
 
 namespace garnethook::engine {
 
+// Makes the text of a request in the moment in which it is written, as a connection may come up late: it may
+// tell how much time is left. Nothing: it must not be sent any more, and the exchange fails as never begun.
+using RequestWriter = std::function<std::optional<std::string>(Micros now)>;
+inline RequestWriter fixedRequest(std::string text) {
+  return [text = std::move(text)](Micros) { return text; };
+}
+
 class Exchange {
  public:
   virtual ~Exchange() = default;
--- a/src/engine/http_engines.cpp
+++ b/src/engine/http_engines.cpp
@@ -29,13 +29,15 @@
     return pool_.later([this, id = order.attempt, full] {
       events_->onAttemptEnded(
           id, {.outcome = full ? Outcome::full : Outcome::connectFailed,
+               .left = false,
                .text = full ? "all connections to the engine are in use" : "no address of the engine"});
     });
   }
   const std::string body = requestBody(order, options_.model);
   pool_.run(order.attempt, order.server,
             std::make_unique<AttemptExchange>(*events_, order.attempt, order.job, options_),
-            requestText(*spec, "POST", options_.completionsPath, order.workId, body), reuseFor(order));
+            fixedRequest(requestText(*spec, "POST", options_.completionsPath, order.workId, body)),
+            reuseFor(order));
 }
 
 void HttpEngines::control(ServerId server, std::string_view method, const std::string& path,
--- a/src/engine/pool.cpp
+++ b/src/engine/pool.cpp
@@ -16,6 +16,11 @@
   return at == engines_.end() || !at->second.resolved ? nullptr : &at->second.spec;
 }
 
+bool Pool::running(ServerId server) const {
+  const auto at = engines_.find(server.value);
+  return at != engines_.end() && at->second.listed && at->second.spec.state == ServerState::running;
+}
+
 std::vector<ServerId> Pool::listed() const {
   std::vector<ServerId> out;
   for (const auto& [id, e] : engines_)
@@ -83,16 +88,25 @@
   --idle_;
 }
 
-Connection& Pool::connect(Engine& e, Reuse reuse) {
-  std::unique_ptr<Connection> own;
-  while (!own && reuse != Reuse::none && !e.idle.empty()) {
-    // The one that rested least; where that is too long, no other will do.
-    if (!reuse_.mayReuse(e.idle.back()->rested(), reuse == Reuse::careful, loop_.now())) break;
-    own = std::move(e.idle.back());
-    e.idle.pop_back();
+// Of the kept connections the one that rested least, those aside that rested too short for a stray answer to
+// show; where that one rested too long, no other will do. Nothing where none may be used.
+std::unique_ptr<Connection> Pool::takeIdle(Engine& e, Reuse reuse) {
+  if (reuse == Reuse::none) return nullptr;
+  for (std::size_t at = e.idle.size(); at-- > 0;) {
+    const Micros rested = e.idle[at]->rested();
+    if (ReusePolicy::mayStray(rested)) continue;
+    if (!reuse_.mayReuse(rested, reuse == Reuse::careful, loop_.now())) return nullptr;
+    auto own = std::move(e.idle[at]);
+    e.idle.erase(e.idle.begin() + static_cast<std::ptrdiff_t>(at));
     --idle_;
-    if (!own->usable()) discard(std::move(own));
+    if (own->usable()) return own;
+    discard(std::move(own));
   }
+  return nullptr;
+}
+
+Connection& Pool::connect(Engine& e, Reuse reuse) {
+  std::unique_ptr<Connection> own = takeIdle(e, reuse);
   if (!own) {
     makeRoom();
     ++opened_;
@@ -151,11 +165,12 @@
 }
 
 void Pool::run(ServerId server, std::unique_ptr<Exchange> exchange, std::string request, Micros limit) {
-  connect(engines_.at(server.value), Reuse::usual).run(std::move(exchange), std::move(request), limit);
+  connect(engines_.at(server.value), Reuse::usual)
+      .run(std::move(exchange), fixedRequest(std::move(request)), limit);
 }
 
 void Pool::run(routing::AttemptId attempt, ServerId server, std::unique_ptr<Exchange> exchange,
-               std::string request, Reuse reuse) {
+               RequestWriter request, Reuse reuse) {
   Engine& e = engines_.at(server.value);
   // An engine that others of its connections stand with refuses one by chance, and is asked once more.
   const bool alive = e.busy > 0 || !e.idle.empty();
--- a/src/engine/pool.h
+++ b/src/engine/pool.h
@@ -30,6 +30,8 @@
   void update(const membership::EngineMap& engines);
   // Nothing where the engine is not known, or its address can't be used.
   const membership::EngineSpec* find(ServerId server) const;
+  // It is listed as running, so that it may get new work.
+  bool running(ServerId server) const;
   // Every engine that is listed and has an address.
   std::vector<ServerId> listed() const;
   Word word(ServerId server) const;
@@ -40,7 +42,7 @@
   // whether a kept connection will do (reuse_policy.h).
   void run(ServerId server, std::unique_ptr<Exchange> exchange, std::string request, Micros limit);
   void run(routing::AttemptId attempt, ServerId server, std::unique_ptr<Exchange> exchange,
-           std::string request, Reuse reuse = Reuse::usual);
+           RequestWriter request, Reuse reuse = Reuse::usual);
   // Ends the attempt's exchange and its connection; nothing of it is told any more.
   void abandon(routing::AttemptId attempt);
   // Attempts that are not out, or whose engine is gone: nowhere.
@@ -76,6 +78,7 @@
   void onHeard(Connection& connection, bool sound) override;
   void onReused(Connection& connection, Micros rested, bool dead) override;
   Connection& connect(Engine& e, Reuse reuse);
+  std::unique_ptr<Connection> takeIdle(Engine& e, Reuse reuse);
   void makeRoom();
   void discard(std::unique_ptr<Connection> connection);
   void closeIdle(Engine& e);
--- a/src/engine/reuse_policy.h
+++ b/src/engine/reuse_policy.h
@@ -32,6 +32,10 @@
       lastDead_ = now;
     }
   }
+  // Whether a stray second answer may still follow the one that a connection has rested since: it would be
+  // taken for the answer to the next request. They come some milliseconds behind; one that comes while the
+  // connection rests ends it.
+  static bool mayStray(Micros rested) { return rested < kStrayWithin; }
   // `costly`: a request that can't be sent again once it may have run.
   bool mayReuse(Micros rested, bool costly, Micros now) const {
     if (lastDead_ == 0 || now - lastDead_ > kMemory) return true;
@@ -43,6 +47,7 @@
   }
 
  private:
+  static constexpr Micros kStrayWithin = 20'000;
   static constexpr Micros kMemory = 20'000'000;
   static constexpr double kPrior = 0.5;
   static constexpr double kCostlyRisk = 0.01;
--- a/src/platform/discovery/watch.cpp
+++ b/src/platform/discovery/watch.cpp
@@ -87,9 +87,15 @@
 }
 
 void Watch::list(std::string_view text) {
+  if (!over_.empty()) return;
   try {
     events_.update(parseTargets(text));
-  } catch (const std::runtime_error& e) { events_.trouble(address_ + ": a list can't be used: " + e.what()); }
+  } catch (const std::runtime_error& e) {
+    // What it told is asked for again, from the version that is held: later changes would pass over it.
+    over_ = std::string("a list can't be used: ") + e.what();
+    policy_.spoilt();
+    parser_->stop();
+  }
 }
 
 }  // namespace garnethook::platform
--- a/src/platform/discovery/watch_policy.h
+++ b/src/platform/discovery/watch_policy.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "brain.h"
 
@@ -50,9 +51,12 @@
   // It ended, or was given up; the pause before the next try grows while nothing is heard.
   void ended(Micros now) {
     live_ = false;
-    due_ = now + std::min(options_.firstPause << std::min(failures_, 10), options_.longestPause);
+    const Micros grown = std::min(options_.firstPause << std::min(failures_, 10), options_.longestPause);
+    due_ = now + (std::exchange(spoilt_, false) ? options_.longestPause : grown);
     ++failures_;
   }
+  // What came can't be used. The next try comes after the longest pause, as it may bring the same again.
+  void spoilt() { spoilt_ = true; }
   // It is to follow another address, of which nothing bad is known.
   void moved() { failures_ = 0; }
 
@@ -66,6 +70,7 @@
   Micros due_ = 0;
   std::optional<Micros> listSince_;
   int failures_ = 0;
+  bool spoilt_ = false;
 };
 
 }  // namespace garnethook::platform
--- a/src/platform/engine/platform_engines.cpp
+++ b/src/platform/engine/platform_engines.cpp
@@ -14,12 +14,19 @@
     const bool full = spec != nullptr;
     return pool_.later([this, id = order.attempt, full] {
       events_->onAttemptEnded(id, {.outcome = full ? Outcome::full : Outcome::connectFailed,
+                                   .left = false,
                                    .text = full ? "all connections are in use" : "no address of the engine"});
     });
   }
+  auto write = [this, server = order.server, request = engineRequest(*spec, order, loop_.now())](
+                   Micros now) -> std::optional<std::string> {
+    // Whoever drains may get nothing new, though it was chosen before that was known.
+    if (!pool_.running(server) || (request.writeBy > 0 && now > request.writeBy)) return std::nullopt;
+    return requestText(request, now);
+  };
   pool_.run(order.attempt, order.server,
-            std::make_unique<RelayExchange>(*events_, order.attempt, order.job, meanings_),
-            requestText(*spec, order), engine::reuseFor(order));
+            std::make_unique<RelayExchange>(*events_, order.attempt, order.job, meanings_), std::move(write),
+            engine::reuseFor(order));
 }
 
 void PlatformEngines::release(ServerId server, RequestId request, const std::string& workId) {
--- a/src/platform/engine/platform_engines.h
+++ b/src/platform/engine/platform_engines.h
@@ -19,7 +19,8 @@
   // `releaseWithin`: what rule 5 gives for a release; 0: no limit told. `ownZone`: as the list names it.
   PlatformEngines(net::Loop& loop, const engine::Options& options, provision::ReportMeanings meanings,
                   Micros releaseWithin, std::string ownZone)
-      : pool_(loop, options),
+      : loop_(loop),
+        pool_(loop, options),
         meanings_(std::move(meanings)),
         hedge_(releaseHedge(releaseWithin > 0 ? releaseWithin : options.controlTimeout)),
         ownZone_(std::move(ownZone)),
@@ -50,6 +51,7 @@
   void askNext(const std::shared_ptr<Release>& release);
   void end(const std::shared_ptr<Release>& release, bool ok);
 
+  net::Loop& loop_;
   engine::Pool pool_;
   provision::ReportMeanings meanings_;
   Micros hedge_;
--- a/src/platform/engine/protocol.cpp
+++ b/src/platform/engine/protocol.cpp
@@ -15,25 +15,36 @@
   return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
-std::string& host(std::string& out, const membership::EngineSpec& engine) {
+std::string& host(std::string& out, std::string_view name, std::uint16_t port) {
   return out.append(" HTTP/1.1\r\nHost: ")
-      .append(engine.host)
+      .append(name)
       .append(":")
-      .append(std::to_string(engine.port))
+      .append(std::to_string(port))
       .append("\r\n");
 }
 
 }  // namespace
 
-std::string requestText(const membership::EngineSpec& engine, const routing::Order& order) {
-  const auto& ask = *order.ask;
-  const std::string_view body = ask.body ? std::string_view(*ask.body) : std::string_view();
+EngineRequest engineRequest(const membership::EngineSpec& engine, const routing::Order& order, Micros now) {
+  return {.host = engine.host,
+          .port = engine.port,
+          .target = order.ask->target,
+          .workId = std::string(order.workId),
+          .fields = order.ask->fields,
+          .body = order.ask->body,
+          .answerBy = now + order.timeout,
+          .writeBy = order.writeBy};
+}
+
+std::string requestText(const EngineRequest& request, Micros now) {
+  const std::string_view body = request.body ? std::string_view(*request.body) : std::string_view();
+  const Micros leftMs = std::max<Micros>(1, (request.answerBy - now) / 1000);
   std::string out;
-  out.reserve(body.size() + ask.target.size() + ask.fields.size() + 256);
-  out.append("POST ").append(ask.target);
-  host(out, engine).append("X-Trace-Id: ").append(order.workId);
-  out.append("\r\nX-Expires-In-Ms: ").append(std::to_string(std::max<Micros>(1, order.timeout / 1000)));
-  out.append("\r\n").append(ask.fields);
+  out.reserve(body.size() + request.target.size() + request.fields.size() + 256);
+  out.append("POST ").append(request.target);
+  host(out, request.host, request.port).append("X-Trace-Id: ").append(request.workId);
+  out.append("\r\nX-Expires-In-Ms: ").append(std::to_string(leftMs));
+  out.append("\r\n").append(request.fields);
   out.append("Content-Length: ").append(std::to_string(body.size()));
   return out.append("\r\n\r\n").append(body);
 }
@@ -41,7 +52,7 @@
 std::string callText(const membership::EngineSpec& engine, std::string_view method, std::string_view target) {
   std::string out(method);
   out.append(" ").append(target);
-  host(out, engine);
+  host(out, engine.host, engine.port);
   if (method != "GET") out.append("Content-Length: 0\r\n");
   return out.append("\r\n");
 }
--- a/src/platform/engine/protocol.h
+++ b/src/platform/engine/protocol.h
@@ -2,6 +2,8 @@
 // I/O.
 #pragma once
 
+#include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,8 +15,20 @@
 
 namespace garnethook::platform {
 
-// The client's request as it came, with its id and the time that the router waits.
-std::string requestText(const membership::EngineSpec& engine, const routing::Order& order);
+// An attempt's request, as it is kept until it is written.
+struct EngineRequest {
+  std::string host;
+  std::uint16_t port = 0;
+  std::string target;  // path and query, as the client sent them
+  std::string workId;
+  std::string fields;  // the client's own, each a line with its CRLF
+  std::shared_ptr<const std::string> body;
+  Micros answerBy = 0;  // the router waits no longer
+  Micros writeBy = 0;   // 0: any time
+};
+EngineRequest engineRequest(const membership::EngineSpec& engine, const routing::Order& order, Micros now);
+// The client's request as it came, with its id and the time that is left for an answer as it is written.
+std::string requestText(const EngineRequest& request, Micros now);
 // A call without body.
 std::string callText(const membership::EngineSpec& engine, std::string_view method, std::string_view target);
 std::string releaseTarget(std::string_view workId);
--- a/src/platform/engine/relay_exchange.cpp
+++ b/src/platform/engine/relay_exchange.cpp
@@ -24,6 +24,7 @@
 bool RelayExchange::onHead(const http1::Head& head) {
   status_ = head.status;
   verdict_ = judge(head, job_);
+  framed_ = http1::find(head.fields, "transfer-encoding") || http1::find(head.fields, "content-length");
   if (const auto load = http1::find(head.fields, "endpoint-load-metrics"))
     result_.report = parseReport(*load, meanings_);
   return true;
@@ -70,7 +71,9 @@
   switch (verdict_) {
     case Verdict::readDone: result_.foundTokens = cachedTokens(body_); return finish(Outcome::readDone, {});
     case Verdict::stream:
-      return seen_ > 0 ? finish(Outcome::served, {}) : finish(Outcome::error, "a stream without events");
+      if (seen_ == 0) return finish(Outcome::error, "a stream without events");
+      if (!framed_ || parser_.cutShort()) return finish(Outcome::reset, "the stream was cut short");
+      return finish(Outcome::served, {});
     case Verdict::noState: result_.stateMissing = true; return finish(Outcome::full, said + ", no state");
     case Verdict::turnedAway: return finish(Outcome::full, said + ", never ran");
     case Verdict::failed: return finish(Outcome::error, said);
--- a/src/platform/engine/relay_exchange.h
+++ b/src/platform/engine/relay_exchange.h
@@ -39,6 +39,7 @@
   routing::AttemptResult result_;
   Verdict verdict_ = Verdict::failed;
   int status_ = 0;
+  bool framed_ = false;  // the answer tells its own end; one that ends with its connection may be cut short
   std::string body_;
   std::string piece_;  // the whole events of this turn, as they go on to the client
   std::uint32_t pieces_ = 0;
--- a/src/platform/node/budget.h
+++ b/src/platform/node/budget.h
@@ -10,9 +10,10 @@
 namespace garnethook::platform {
 
 struct Budget {
-  std::size_t clients = 0;   // connections of clients
-  std::size_t attempts = 0;  // connections to engines that carry attempts, or rest
-  std::size_t bodies = 0;    // octets of open requests' bodies
+  std::size_t clients = 0;    // connections of clients
+  std::size_t lingering = 0;  // and of those that have ended here and wait for their clients to close
+  std::size_t attempts = 0;   // connections to engines that carry attempts, or rest
+  std::size_t bodies = 0;     // octets of open requests' bodies
 };
 
 // Descriptors: some are the process's own (the loop, logs, the listener, discovery). Of the rest clients get
@@ -23,6 +24,7 @@
   const std::size_t free = limits.descriptors > 2 * kOwn ? limits.descriptors - kOwn : limits.descriptors / 2;
   Budget out;
   out.clients = std::max<std::size_t>(8, free / 2);
+  out.lingering = std::max<std::size_t>(4, free / 20);
   out.attempts = std::max<std::size_t>(8, free * 36 / 100);
   // A body is in memory up to three times for a moment: as read, as kept, as written.
   out.bodies = static_cast<std::size_t>(std::max<std::uint64_t>(1u << 20, limits.memory / 8));
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -266,7 +266,8 @@
       job != Job::read && !mayRefuse(options_.settings.classes[life->ask.requestClass], {.mayHaveRun = true}),
       // What an earlier read may have left waits for this one's arrival, or is let go of.
       job == Job::read && due.has_value(),
-      a.timeout > 0 ? a.timeout : life->usableUntil - out.sentAt};
+      a.timeout > 0 ? a.timeout : life->usableUntil - out.sentAt,
+      job == Job::read ? 0 : repeatUntil(options_.settings.classes[life->ask.requestClass], life->exposed)};
   observer_.onAttempt(order);
   engines_.begin(order);
 }
@@ -351,7 +352,7 @@
       held_.consumed(attempt.request, *life->stateAt);
       life->stateAt.reset();
     }
-    life->exposed.mayHaveRun = true;
+    life->exposed.note(out.sentAt);
     give(StreamStarted{attempt.request, attempt.number});
     life = find(attempt.request);
     if (life == nullptr || !life->out || life->out->number != attempt.number || life->client == nullptr)
@@ -402,8 +403,8 @@
   timers_.cancel(out.unreached);
   timers_.cancel(life.guard);
   ++counters_.outcomes[outcome];
-  if (out.job != Job::read && !provesNotRun(outcome)) life.exposed.mayHaveRun = true;
-  if (out.job != Job::read && outcome == kNoJudgement && out.started) life.exposed.mayHaveRun = true;
+  const bool ended = !provesNotRun(outcome) || (outcome == kNoJudgement && out.started);
+  if (out.job != Job::read && ended) life.exposed.note(out.sentAt);
   observer_.onAttemptEnded({id, out.number}, out.server, {.outcome = outcome, .text = "ended here"});
   give(AttemptEnded{.id = id,
                     .attempt = out.number,
@@ -425,12 +426,12 @@
   timers_.cancel(out.timeout);
   timers_.cancel(out.unreached);
   timers_.cancel(life->guard);
-  const bool arrived = result.outcome != Outcome::connectFailed && !result.keptConnection;
+  const bool arrived = result.left && result.outcome != Outcome::connectFailed && !result.keptConnection;
   if (arrived) held_.outcome(id, timers_.now());
   ++counters_.outcomes[result.outcome];
   observer_.onAttemptEnded(attempt, out.server, result);
   if (!result.text.empty()) life->lastTrouble = result.text;
-  if (out.job != Job::read && !provesNotRun(result.outcome)) life->exposed.mayHaveRun = true;
+  if (out.job != Job::read && !provesNotRun(result.outcome)) life->exposed.note(out.sentAt);
 
   AttemptEnded event{.id = id,
                      .attempt = attempt.number,
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -122,6 +122,8 @@
   bool costly = false;        // can't be sent again once it may have run
   bool fresh = false;         // on a new connection: it has to be known whether it arrives
   Micros timeout = 0;         // the router waits so long for the first sign
+  // A repeat that a later arrival would make a second piece of work must be written by then; 0: any time.
+  Micros writeBy = 0;
 };
 
 struct AttemptResult {
@@ -130,6 +132,7 @@
   bool stateMissing = false;
   bool keptConnection = false;  // the connection was an old one and broke without a sign
   bool badRequest = false;      // nothing ran, and no engine would take it
+  bool left = true;             // false: nothing of it left this router
   std::optional<LoadReport> report{};
   std::string handover{};  // readDone
   FinishReason reason = FinishReason::stop;
--- a/tests/path/pool_test.cpp
+++ b/tests/path/pool_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "platform/engine/platform_engines.h"
 #include "platform_world.h"
 
 namespace garnethook::test {
@@ -48,6 +49,8 @@
   ASSERT_TRUE(w.until([&] { return pool.idleConnections() == 1; }, 1'000'000));
   EXPECT_EQ(first.ends, 1);
 }
+// Until a kept connection may be used again.
+void rest(LoopRunner& w) { w.pass(30'000); }
 
 // Octets that came unasked and were not read yet must not become the next answer.
 TEST(Pool, AKeptConnectionOnWhichOctetsWaitIsNotUsed) {
@@ -56,6 +59,7 @@
   engine::Pool pool(w.loop, {});
   Heard second;
   ASSERT_NO_FATAL_FAILURE(keepOne(w, e, pool));
+  rest(w);
   e.seen[0].stream->send(answer("foreign"));  // and in the same turn, before the loop sees it:
   pool.run({7}, std::make_unique<Listening>(second), kGet, 0);
   ASSERT_TRUE(w.until([&] { return second.ends == 1; }, 1'000'000));
@@ -63,6 +67,64 @@
   EXPECT_EQ(pool.opened(), 2u);
 }
 
+// A second answer may follow some milliseconds behind the first: a request that is sent in between would get
+// it for its own.
+TEST(Pool, AConnectionThatHasJustHadItsAnswerIsNotUsedYet) {
+  LoopRunner w;
+  ScriptedEngine e(w.loop);
+  engine::Pool pool(w.loop, {});
+  Heard second;
+  ASSERT_NO_FATAL_FAILURE(keepOne(w, e, pool));
+  pool.run({7}, std::make_unique<Listening>(second), kGet, 0);
+  e.seen[0].stream->send(answer("stray"));  // right behind the second request
+  ASSERT_TRUE(w.until([&] { return second.ends == 1; }, 1'000'000));
+  EXPECT_EQ(second.body, "mine");
+  EXPECT_EQ(pool.opened(), 2u);
+}
+
+// The time that a request tells must be what is left when it goes out, not when it was ordered.
+TEST(Pool, ARequestIsMadeWhenItsConnectionIsUp) {
+  constexpr net::Micros kLate = 200'000;
+  LoopRunner w;
+  ScriptedEngine e(w.loop);
+  engine::Pool pool(w.loop, {});
+  pool.update(only(Poco::Net::SocketAddress(e.address())));
+  Heard heard;
+  net::Micros written = 0;
+  const net::Micros ordered = w.loop.now();
+  pool.run({{1}, 0}, {7}, std::make_unique<Listening>(heard), [&](net::Micros now) {
+    written = now;
+    return kGet;
+  });
+  w.stall(kLate);  // the loop sees the connection only then
+  ASSERT_TRUE(w.until([&] { return e.seen.size() == 1; }, 1'000'000));
+  EXPECT_GE(written - ordered, kLate);
+  pool.abandon({{1}, 0});
+}
+
+TEST(Pool, ARequestThatIsTooLateWhenItsConnectionIsUpIsNotWritten) {
+  for (const bool kept : {false, true}) {
+    LoopRunner w;
+    ScriptedEngine e(w.loop);
+    engine::Pool pool(w.loop, {});
+    if (kept) {
+      ASSERT_NO_FATAL_FAILURE(keepOne(w, e, pool));
+      rest(w);
+    } else {
+      pool.update(only(Poco::Net::SocketAddress(e.address())));
+    }
+    const std::size_t before = e.seen.size();
+    Heard heard;
+    pool.run({{1}, 0}, {7}, std::make_unique<Listening>(heard), [](net::Micros) { return std::nullopt; });
+    EXPECT_FALSE(heard.failed);  // not from within the call
+    ASSERT_TRUE(w.until([&] { return heard.failed.has_value(); }, 1'000'000));
+    EXPECT_EQ(*heard.failed, Outcome::connectFailed);
+    w.pass(20'000);
+    EXPECT_EQ(e.seen.size(), before);
+    EXPECT_EQ(pool.attempts(), 0u);
+  }
+}
+
 // A request whose arrival has to show goes on a new connection, though a kept one is good.
 TEST(Pool, ANewConnectionIsMadeWhereNoKeptOneWillDo) {
   for (const auto reuse : {engine::Reuse::usual, engine::Reuse::none}) {
@@ -71,8 +133,9 @@
     engine::Pool pool(w.loop, {});
     Heard second;
     ASSERT_NO_FATAL_FAILURE(keepOne(w, e, pool));
+    rest(w);
     e.script = nullptr;  // it takes the request and says nothing
-    pool.run({{1}, 0}, {7}, std::make_unique<Listening>(second), kGet, reuse);
+    pool.run({{1}, 0}, {7}, std::make_unique<Listening>(second), engine::fixedRequest(kGet), reuse);
     ASSERT_TRUE(w.until([&] { return e.seen.size() == 2; }, 1'000'000));
     EXPECT_EQ(pool.opened(), reuse == engine::Reuse::none ? 2u : 1u);
     EXPECT_EQ(pool.reach({{1}, 0}),
@@ -91,13 +154,13 @@
     pool.update(only(address));
     Heard open, tried;
     if (standing) {
-      pool.run({{1}, 0}, {7}, std::make_unique<Listening>(open), kGet);
+      pool.run({{1}, 0}, {7}, std::make_unique<Listening>(open), engine::fixedRequest(kGet));
       ASSERT_TRUE(w.until([&] { return e->seen.size() == 1; }, 1'000'000));
     }
     e->stopListening();
     std::unique_ptr<net::Listener> again;
     std::vector<Poco::Net::StreamSocket> accepted;
-    pool.run({{2}, 0}, {7}, std::make_unique<Listening>(tried), kGet);
+    pool.run({{2}, 0}, {7}, std::make_unique<Listening>(tried), engine::fixedRequest(kGet));
     w.loop.post([&] {
       again = std::make_unique<net::Listener>(w.loop, address, [&](auto s) { accepted.push_back(s); });
     });
@@ -118,7 +181,7 @@
     pool.update(only(listener.address()));
     Heard heard;
     pool.run({{1}, 0}, {7}, std::make_unique<Listening>(heard),
-             kGet + (whole ? std::string() : std::string(32u << 20, 'x')));
+             engine::fixedRequest(kGet + (whole ? std::string() : std::string(32u << 20, 'x'))));
     ASSERT_TRUE(w.until([&] { return accepted.size() == 1; }, 1'000'000));
     w.pass(30'000);
     accepted[0].setLinger(true, 0);
@@ -128,5 +191,69 @@
   }
 }
 
+// Told of by the router; remembers how attempts ended.
+struct AttemptEnds final : routing::EngineEvents {
+  void onTokens(routing::AttemptId, std::string_view, std::uint32_t,
+                std::span<const std::uint32_t>) override {}
+  void onAttemptEnded(routing::AttemptId, const routing::AttemptResult& r) override { ends.push_back(r); }
+  void onProbeEnded(ServerId, bool, const std::optional<LoadReport>&) override {}
+  void onReleaseEnded(ServerId, RequestId, bool) override {}
+  std::vector<routing::AttemptResult> ends;
+};
+
+// What changed between the order and the moment in which its connection is up.
+enum class Meanwhile { nothing, drains, goes, tooLate };
+class LateConnection : public testing::TestWithParam<Meanwhile> {};
+INSTANTIATE_TEST_SUITE_P(All, LateConnection,
+                         testing::Values(Meanwhile::nothing, Meanwhile::drains, Meanwhile::goes,
+                                         Meanwhile::tooLate));
+
+TEST_P(LateConnection, CarriesNothingToAnEngineThatDrainsOrBehindItsTime) {
+  LoopRunner w;
+  ScriptedEngine e(w.loop);
+  AttemptEnds ends;
+  platform::PlatformEngines engines(w.loop, {}, {}, 0, "a");
+  engines.setEvents(ends);
+  membership::EngineMap map = only(Poco::Net::SocketAddress(e.address()));
+  engines.update(map);
+  routing::Ask ask;
+  ask.target = "/v1/chat/completions";
+  ask.body = std::make_shared<const std::string>("{}");
+  routing::Order order{.attempt = {{1}, 0}, .server = {7}, .ask = &ask, .workId = "x", .timeout = 1'000'000};
+  if (GetParam() == Meanwhile::tooLate) order.writeBy = w.loop.now() + 1'000;
+  engines.begin(order);
+  if (GetParam() == Meanwhile::drains) map["e"].state = ServerState::draining;
+  if (GetParam() == Meanwhile::goes) map.clear();
+  engines.update(map);
+  w.stall(10'000);
+  if (GetParam() == Meanwhile::nothing) {
+    EXPECT_TRUE(w.until([&] { return e.seen.size() == 1; }, 1'000'000));
+    return engines.cancel(order.attempt);
+  }
+  ASSERT_TRUE(w.until([&] { return !ends.ends.empty(); }, 1'000'000));
+  EXPECT_EQ(ends.ends[0].outcome, Outcome::connectFailed);
+  w.pass(20'000);
+  EXPECT_TRUE(e.seen.empty());
+}
+
+// An attempt that found no room among the router's own connections tells nothing of its engine.
+TEST(PlatformEngines, AnAttemptThatFoundNoConnectionNeverLeft) {
+  LoopRunner w;
+  ScriptedEngine e(w.loop);
+  AttemptEnds ends;
+  platform::PlatformEngines engines(w.loop, {.connections = 1}, {}, 0, "a");
+  engines.setEvents(ends);
+  engines.update(only(Poco::Net::SocketAddress(e.address())));
+  routing::Ask ask;
+  ask.target = "/v1/chat/completions";
+  ask.body = std::make_shared<const std::string>("{}");
+  engines.begin({.attempt = {{1}, 0}, .server = {7}, .ask = &ask, .workId = "x", .timeout = 1'000'000});
+  engines.begin({.attempt = {{2}, 0}, .server = {7}, .ask = &ask, .workId = "y", .timeout = 1'000'000});
+  ASSERT_TRUE(w.until([&] { return !ends.ends.empty(); }, 1'000'000));
+  EXPECT_EQ(ends.ends[0].outcome, Outcome::full);
+  EXPECT_FALSE(ends.ends[0].left);
+  engines.cancel({{1}, 0});
+}
+
 }  // namespace
 }  // namespace garnethook::test
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -192,10 +192,14 @@
   engine.host = "127.0.0.9";
   engine.port = 90;
   routing::Order order{.ask = &ask, .workId = "9b1f", .timeout = 1'234'567};
-  EXPECT_EQ(requestText(engine, order),
+  const EngineRequest request = engineRequest(engine, order, 5'000'000);
+  EXPECT_EQ(requestText(request, 5'000'000),
             "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: 127.0.0.9:90\r\nX-Trace-Id: 9b1f\r\n"
             "X-Expires-In-Ms: 1234\r\nidempotency-key: f1b8\r\nContent-Length: "
             "15\r\n\r\n{\"stream\":true}");
+  // What is told is what is left when the request is written, however late its connection came up.
+  EXPECT_NE(requestText(request, 5'900'000).find("X-Expires-In-Ms: 334\r\n"), std::string::npos);
+  EXPECT_NE(requestText(request, 9'000'000).find("X-Expires-In-Ms: 1\r\n"), std::string::npos);
   EXPECT_EQ(callText(engine, "DELETE", releaseTarget("9b1f")),
             "DELETE /v1/holds/9b1f HTTP/1.1\r\nHost: 127.0.0.9:90\r\nContent-Length: 0\r\n\r\n");
 }
@@ -224,12 +228,15 @@
     "data: {\"a\":1}\n\ndata: {\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\": 4096}}}\n\ndata: "
     "[DONE]\n\n";
 
+// The head of a stream, as engines send it.
+http1::Head streamHead() { return head(200, {{"transfer-encoding", "chunked"}}); }
+
 TEST(Relay, EventsGoOnWholeAndUnchangedWhateverThePieces) {
   const std::string text = std::string(kEvents) + ": Endpoint-Load-Metrics: TEXT x0=0.5\n\n";
   for (std::size_t piece = 1; piece <= text.size(); ++piece) {
     Heard heard;
     RelayExchange relay(heard, {}, routing::Job::write, kMeanings);
-    EXPECT_TRUE(relay.onHead(head(200)));
+    EXPECT_TRUE(relay.onHead(streamHead()));
     for (std::size_t at = 0; at < text.size(); at += piece)
       relay.onBody(std::string_view(text).substr(at, piece));
     relay.onEnd();
@@ -254,6 +261,31 @@
   EXPECT_EQ(heard.result.outcome, Outcome::reset);
 }
 
+// The last chunk would tell the client that a stream is whole which is not.
+TEST(Relay, AStreamThatEndsWithinAnEventOrWithItsConnectionIsNotWhole) {
+  struct Case {
+    http1::Head head;
+    std::string_view text;
+    Outcome outcome;
+  };
+  const std::vector<Case> cases{{streamHead(), "data: {}\n\n", Outcome::served},
+                                {streamHead(), "data: {}\n\n: a comment", Outcome::served},
+                                {head(200, {{"content-length", "10"}}), "data: {}\n\n", Outcome::served},
+                                {streamHead(), "data: {}\n\ndat", Outcome::reset},
+                                {streamHead(), "data: {}\n\ndata: {}", Outcome::reset},
+                                {streamHead(), "data: {}\n\ndata: {}\n", Outcome::reset},
+                                {head(200), "data: {}\n\n", Outcome::reset}};
+  for (const Case& c : cases) {
+    Heard heard;
+    RelayExchange relay(heard, {}, routing::Job::write, kMeanings);
+    relay.onHead(c.head);
+    relay.onBody(c.text);
+    relay.onEnd();
+    EXPECT_EQ(heard.result.outcome, c.outcome) << c.text;
+    EXPECT_EQ(heard.pieces, 1u);
+  }
+}
+
 TEST(Relay, EndingsOfReadsAndErrors) {
   const auto end = [](int status, http1::Fields fields, routing::Job job, std::string_view body) {
     Heard heard;
@@ -481,10 +513,11 @@
 TEST(Budget, SharesStayWithinTheLimits) {
   for (const std::size_t descriptors : {32u, 64u, 256u, 512u, 1024u, 65536u}) {
     const auto b = share({.memory = 32u << 20, .descriptors = descriptors});
-    EXPECT_LE(b.clients + b.attempts, descriptors);
+    EXPECT_LE(b.clients + b.lingering + b.attempts, descriptors);
     if (descriptors >= 256) {
       EXPECT_GE(b.clients, descriptors / 3);  // what clients may hold for requests
       EXPECT_GE(b.attempts, descriptors / 4);
+      EXPECT_LE(b.clients + b.lingering + b.attempts + 40, descriptors);  // its own, and releases
     }
     EXPECT_LE(b.bodies, 8u << 20);
   }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -25,7 +25,7 @@
 
 struct HandEngines final : Engines {
   void begin(const Order& o) override {
-    begun.push_back({o.attempt, o.server, o.job, std::string(o.handover), o.fresh});
+    begun.push_back({o.attempt, o.server, o.job, std::string(o.handover), o.fresh, o.writeBy});
   }
   void cancel(AttemptId a) override { cancelled.push_back(a); }
   Reach reach(AttemptId) const override { return reached; }
@@ -37,6 +37,7 @@
     Job job;
     std::string handover;
     bool fresh = false;
+    Micros writeBy = 0;
   };
   Reach reached = Reach::engine;
   std::vector<Begun> begun;
@@ -66,7 +67,12 @@
   static Options options() {
     Options o;
     o.settings.classes = {{.aim = 1'000'000, .deadline = 5'000'000},
-                          {.aim = 1'000'000, .deadline = 5'000'000, .effect = Effect::unsafe}};
+                          {.aim = 1'000'000, .deadline = 5'000'000, .effect = Effect::unsafe},
+                          {.aim = 1'000'000,
+                           .deadline = 5'000'000,
+                           .effect = Effect::keyed,
+                           .scope = RepeatScope::everywhere,
+                           .repeatWindow = 400'000}};
     o.settings.kinds = {{Role::reader, 1e5}, {Role::writer, 1e5}};
     o.settings.maxAttempts = 4;
     o.settings.mayCancel = true;
@@ -223,6 +229,42 @@
   EXPECT_EQ(engines.begun.back().job, Job::read);  // and the prompt is read anew
 }
 
+// Nothing of such a write left this router, so the state's time runs on.
+TEST_F(RouterTest, AWriteThatFoundNoConnectionHereDoesNotHoldTheStateLonger) {
+  constexpr Micros kEach = 240'000;
+  Ear ear;
+  ask(ear);
+  timers.pass(10'000);
+  read();
+  const Micros readAt = timers.time;
+  engines.reached = Reach::nowhere;
+  while (engines.released.empty() && timers.time < readAt + 2'000'000) {
+    const auto latest = engines.begun.back();
+    for (Micros t = 0; t < kEach && engines.released.empty(); t += 1'000) timers.pass(1'000);
+    if (latest.job == Job::write)
+      router.onAttemptEnded(latest.attempt, {.outcome = Outcome::full, .left = false});
+  }
+  ASSERT_FALSE(engines.released.empty());
+  EXPECT_LE(timers.time - readAt, 510'000);
+}
+
+// Engines remember keyed work for its window; a repeat that a late connection brings after that would run.
+TEST_F(RouterTest, ARepeatOfKeyedWorkHasToBeWrittenWithinItsWindow) {
+  Ear ear;
+  ask(ear, 2);
+  EXPECT_EQ(engines.begun.back().writeBy, 0);
+  timers.pass(10'000);
+  read();
+  ASSERT_EQ(engines.begun.back().job, Job::write);
+  EXPECT_EQ(engines.begun.back().writeBy, 0);  // the first one
+  const Micros sentAt = timers.time;
+  timers.pass(100'000);
+  router.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::reset});
+  ASSERT_EQ(engines.begun.size(), 3u);
+  EXPECT_EQ(engines.begun.back().job, Job::write);
+  EXPECT_EQ(engines.begun.back().writeBy, sentAt + 400'000);
+}
+
 TEST_F(RouterTest, AWriteThatReachedItsEngineIsWaitedForAndAKeptConnectionsSilenceRunsOn) {
   Ear ear;
   ask(ear);
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -75,6 +75,21 @@
   EXPECT_EQ(pause(), first);
 }
 
+// The same list may come again at once: it is asked for, but not in a loop.
+TEST(WatchPolicy, AListThatCantBeUsedIsAskedForAgainAfterTheLongestPause) {
+  WatchPolicy policy;
+  policy.begun(0);
+  policy.heard(1000, false);
+  policy.spoilt();
+  policy.ended(1000);
+  EXPECT_EQ(policy.next(), WatchPolicy::Step::begin);
+  EXPECT_EQ(policy.due(), 1000 + policy.options().longestPause);
+  policy.begun(policy.due());
+  policy.heard(2'000'000, false);
+  policy.ended(2'000'000);
+  EXPECT_EQ(policy.due(), 2'000'000 + policy.options().firstPause);
+}
+
 TEST(WatchPolicy, AListThatDoesNotEndIsGivenUpWhateverGoesOn) {
   WatchPolicy policy;
   policy.begun(0);
