Requests that were read get their answer, and what crosses a connection's end stays unread

Found by reading each way in which one ends (HttpFront::Connection): - end() dropped requests that had been read behind an open one, also when it was a drain that ended the connection. - keep() dropped everything that waited once a client had sent too much, whole requests that were read among it. - A connection that ended at rest went on being read: a request that crossed the end was read and never answered. - tooSlow() answered 408, or nothing, while the request's last bytes waited unread in the same turn. - A request that came whole after the last accept of a drain kept its full deadline, though the process may be killed before. - Listener::close reset the connections that waited in the system's queue. - The time that a request waited behind another was not taken off its deadline. - At most 64 ended connections were waited for, and none of them counted in the descriptors: 116 clients, 83 attempts, 64 and the router's own are more than 256, and the lack of a descriptor made sound engines suspect (seen with 128 descriptors and an idle crowd). - Bodies that were still coming, and answers to pipelined requests that a client does not read, had no bound. - Settings that leave out the connect time-out or the release time made them 1 us.

A drain answers what was read and announces the end in the last answer; after the last accept requests are refused at once. Connections that end at rest are shut down for sending and read no more. Ended connections have a share of the descriptors, and a client that goes on reading has more time. Each cause of a refused request is logged once between two status lines.

--- a/src/http1/message.cpp
+++ b/src/http1/message.cpp
@@ -82,6 +82,7 @@
         if (!takeLine(in, limits_.headBytes, whole)) return fail("head too large");
         headSeen_ += before - in.size();
         if (headSeen_ > limits_.headBytes) return fail("head too large");
+        untaken_ = in.size();
         if (!whole) return true;
         const bool good = state_ == State::start ? startLine() : fieldLine();
         if (!good) return false;
@@ -93,6 +94,7 @@
         if (!deliver(in.substr(0, n))) return false;
         in.remove_prefix(n);
         left_ -= n;
+        untaken_ = in.size();
         if (left_ == 0) {
           if (state_ == State::body)
             finish();
@@ -109,6 +111,7 @@
       case State::chunkEnd: {
         bool whole = false;
         if (!takeLine(in, limits_.chunkLine, whole)) return fail("chunk line too long");
+        untaken_ = in.size();
         if (!whole) return true;
         if (state_ == State::chunkEnd) {
           if (!line_.empty()) return fail("no line end after a chunk");
--- a/src/http1/message.h
+++ b/src/http1/message.h
@@ -55,7 +55,8 @@
   // The peer closed its side. False where a message was cut short; true ends a body that lasts until then.
   bool close();
   void stop() { stopped_ = true; }
-  // Octets at the end of the last piece that were not taken, as stop() came before them.
+  // Octets at the end of the last piece that were not taken, as stop() came before them. Within onEnd():
+  // those behind the message.
   std::size_t untaken() const { return untaken_; }
   void resume() { stopped_ = false; }
   // Whether octets of an unfinished message were taken.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -18,8 +18,15 @@
 using Poco::Net::ReadableNotification;
 using Poco::Net::WritableNotification;
 constexpr std::size_t kReadPiece = 64 * 1024;
+constexpr int kBacklog = 1024;      // connections that wait to be accepted
+constexpr int kAcceptsInTurn = 64;  // the rest waits for the next turn
+constexpr Micros kFailurePause = 50'000;
 // One peer's turn: the rest waits for the next, so that a flooding peer does not keep the others waiting.
 constexpr int kReadsInTurn = 4;
+// How often a stream that is no longer read asks whether its peer has closed: soon at first, as most peers
+// close at once, then twice as late each time.
+constexpr Micros kFirstPeerClosePoll = 1'000;
+constexpr Micros kLastPeerClosePoll = 32'000;
 
 }  // namespace
 
@@ -235,10 +242,19 @@
   closeAlarm_.start(limit, [this] { over(CloseCause::local); });
 }
 
-void Stream::finishSending() {
+void Stream::finishSending(Inbound inbound) {
   if (!open_ || closing_ || std::exchange(finishing_, true)) return;
-  watchReading(connected_);
+  watchReading(connected_ && inbound == Inbound::read);
   shutdownIfSent();
+  if (inbound == Inbound::leave) awaitPeerClose(kFirstPeerClosePoll);
+}
+
+// Without reading, the peer's FIN is seen by asking for it; unread bytes in front of it do not hide it.
+void Stream::awaitPeerClose(Micros pause) {
+  closeAlarm_.start(pause, [this, pause] {
+    if (peerGone()) return over(CloseCause::peerClosed);
+    awaitPeerClose(std::min(2 * pause, kLastPeerClosePoll));
+  });
 }
 
 void Stream::shutdownIfSent() {
@@ -253,7 +269,7 @@
     : loop_(loop), accept_(std::move(accept)), retry_(loop) {
   try {
     socket_.bind(address, true, false);
-    socket_.listen(1024);
+    socket_.listen(kBacklog);
   } catch (const Poco::Exception& e) {
     throw Poco::Net::NetException("can't listen on " + address.toString() + ": " + e.displayText());
   }
@@ -261,7 +277,7 @@
   pause(false);
 }
 
-Listener::~Listener() { close(); }
+Listener::~Listener() { shut(); }
 
 void Listener::pause(bool paused) {
   if (!open_ || watching_ == !paused) return;
@@ -279,6 +295,13 @@
 }
 
 void Listener::close() {
+  if (!open_) return;
+  pause(true);
+  acceptWaiting(kBacklog);
+  shut();
+}
+
+void Listener::shut() {
   if (!open_) return;
   pause(true);
   open_ = false;
@@ -287,16 +310,21 @@
 }
 
 void Listener::onReadable(const Poco::AutoPtr<ReadableNotification>&) {
-  for (int i = 0; i < 64 && open_ && watching_; ++i) {
+  // Out of descriptors: leave the queue alone for a while, so that the loop does not spin on a listener that
+  // stays readable.
+  if (!acceptWaiting(kAcceptsInTurn)) rest(kFailurePause);
+}
+
+bool Listener::acceptWaiting(int most) {
+  const bool watched = watching_;  // an owner that pauses the listener from within a call ends the round
+  for (int i = 0; i < most && open_ && watching_ == watched; ++i) {
     try {
-      if (!socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return;
+      if (!socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) return true;
       accept_(socket_.acceptConnection());
-    } catch (const Poco::Exception&) {
-      // Out of descriptors, or the peer is gone already: leave the queue alone for a while, so that the loop
-      // does not spin on a listener that stays readable.
-      return rest(50'000);
-    }
+    } catch (const Poco::Net::ConnectionAbortedException&) {  // that peer is gone; the next may not be
+    } catch (const Poco::Exception&) { return false; }
   }
+  return true;
 }
 
 }  // namespace garnethook::net
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -62,10 +62,13 @@
   void close(bool abort = false);
   // Closes once what is pending went out, or after `limit`.
   void closeAfterSending(Micros limit);
-  // Takes no more to send; once what is pending went out the peer is told that nothing follows (FIN). Reading
-  // goes on: a close over unread octets would reset the connection, and take with it what the peer has not
-  // read yet. onClosed tells when the peer has closed too; the owner bounds how long that may take.
-  void finishSending();
+  // Takes no more to send; once what is pending went out the peer is told that nothing follows (FIN).
+  // onClosed tells when the peer has closed too; the owner bounds how long that may take. `Inbound::read`:
+  // reading goes on, as a close over unread bytes would reset the connection and take with it what the peer
+  // has not read yet. `Inbound::leave`: nothing is read any more, so that a request which crosses the FIN
+  // stays unread.
+  enum class Inbound { read, leave };
+  void finishSending(Inbound inbound = Inbound::read);
   // Whether the peer has closed or reset the connection, also where that was not read yet: asks the system.
   bool peerGone() const;
   std::string peerHost() const { return peerHost_; }
@@ -82,6 +85,7 @@
   void over(CloseCause cause);
   void failLater(CloseCause cause);
   void shutdownIfSent();
+  void awaitPeerClose(Micros pause);
 
   Loop& loop_;
   Poco::Net::StreamSocket socket_;
@@ -110,7 +114,8 @@
   Listener(Loop& loop, const Poco::Net::SocketAddress& address, Accept accept);
   ~Listener();
   Poco::Net::SocketAddress address() const { return socket_.address(); }
-  // Accepts no more; the port is given up.
+  // Takes the connections that wait in the system's queue, as their requests may have been written already;
+  // then accepts no more and gives up the port.
   void close();
   // Leaves new connections in the system's queue, and takes them again.
   void pause(bool paused);
@@ -119,6 +124,9 @@
 
  private:
   void onReadable(const Poco::AutoPtr<Poco::Net::ReadableNotification>&);
+  // False: the system refused an accept.
+  bool acceptWaiting(int most);
+  void shut();
   Loop& loop_;
   Poco::Net::ServerSocket socket_;
   Accept accept_;
--- a/src/platform/front/http_front.h
+++ b/src/platform/front/http_front.h
@@ -19,12 +19,13 @@
  public:
   struct Options {
     ConnectionPolicy::Options connections;
-    std::size_t bodiesBytes = 64u << 20;   // of all open requests together
+    std::size_t bodiesBytes = 64u << 20;   // of all requests together that are read or open
     std::size_t aheadBytes = 1u << 20;     // kept of what a client sends behind an open request
     std::size_t unreadBytes = 512 * 1024;  // of an answer that its client does not read
+    std::size_t unsentBytes = 64 * 1024;   // of answers, with which a client gets none of its next ones yet
     Micros lingerWithin = 1'000'000;       // for a client to close too, once this side has ended
     std::size_t lingerBytes = 1u << 20;    // and so much of what it still sends is thrown away
-    std::size_t lingering = 64;            // connections at once in that state
+    std::size_t lingering = 64;            // connections in that state, beside a full number of others
     Micros retryAfter = 250'000;           // told where this front itself is full
   };
   struct Counters {
@@ -35,26 +36,34 @@
     std::uint64_t overfull = 0;  // connections closed as there was no room
     std::uint64_t idled = 0;     // closed between requests
   };
-  using Ready = std::function<bool()>;
+  struct Events {
+    std::function<bool()> ready;  // what `/-/ready` tells
+    // A request that could not be read, or asked for nothing there is; the text names the cause.
+    std::function<void(int status, std::string_view text)> turnedAway = [](int, std::string_view) {};
+  };
 
   HttpFront(net::Loop& loop, const Poco::Net::SocketAddress& address, const Options& options,
-            const provision::Provision& provision, routing::Router& router, Ready ready);
+            const provision::Provision& provision, routing::Router& router, Events events);
   ~HttpFront();
 
   // Answers end their connections from now on; those between requests end.
   void drain();
-  // Takes no more connections, and those without an open request end.
+  // Takes no more connections, and those without an open request end. What is read from now on is refused:
+  // the process ends once the requests that are open have their answers.
   void close();
 
   Poco::Net::SocketAddress address() const { return listener_.address(); }
   std::size_t connections() const { return connections_.size(); }
   std::size_t openRequests() const { return ids_.size(); }
+  // Of the bodies of open requests, and of what waits behind them.
+  std::size_t heldBytes() const { return bodies_ + aheadBytes_; }
   const Counters& counters() const { return counters_; }
 
  private:
   class Connection;
   void accept(Poco::Net::StreamSocket socket);
   void makeRoom();
+  void boundLingering();
   bool evictOne();
   void ending(Connection& connection);
   void closed(Connection& connection);
@@ -65,13 +74,14 @@
   ConnectionPolicy policy_;
   const provision::Provision& provision_;
   routing::Router& router_;
-  Ready ready_;
+  Events events_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::unordered_set<std::string> ids_;  // of open requests
   std::size_t bodies_ = 0;
-  std::size_t ahead_ = 0;  // octets that wait behind open requests
+  std::size_t aheadBytes_ = 0;  // that wait behind open requests, of all connections
   std::deque<Connection*> ending_;
   bool draining_ = false;
+  bool refusing_ = false;
   Counters counters_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   timing::Alarm roomAlarm_;
--- a/src/platform/node/node.cpp
+++ b/src/platform/node/node.cpp
@@ -9,6 +9,10 @@
 
 constexpr Micros kReportEvery = 5'000'000;
 constexpr Micros kDrainLook = 20'000;
+constexpr std::size_t kTurnedAwayCauses = 32;  // that are logged between two reports
+// Where the settings tell none.
+constexpr Micros kConnectTimeout = 250'000;
+constexpr Micros kReleaseWithin = 500'000;
 
 // Resident memory in octets, as the system tells it; 0 where it does not.
 std::uint64_t resident() {
@@ -40,7 +44,8 @@
   out.streams.silence = Times().streamSilence;
   out.streams.margin = 0;
   out.streams.deadlineEnds = false;
-  out.held.releaseWithin = std::max<Micros>(1, config.provision.settings.releaseWithin);
+  const Micros releaseWithin = config.provision.settings.releaseWithin;
+  out.held.releaseWithin = releaseWithin > 0 ? releaseWithin : kReleaseWithin;
   out.held.sparesAwaited = true;
   return out;
 }
@@ -48,7 +53,8 @@
 engine::Options Node::engineOptions(const PlatformConfig& config, const Budget& budget) {
   engine::Options out;
   out.probePath = "/-/load";
-  out.connectTimeout = std::max<Micros>(1, config.provision.settings.connectTimeout);
+  const Micros connectTimeout = config.provision.settings.connectTimeout;
+  out.connectTimeout = connectTimeout > 0 ? connectTimeout : kConnectTimeout;
   out.controlTimeout = out.connectTimeout;
   out.idleTimeout = Times::idle(config.provision.connectionIdle);
   out.connections = budget.attempts;
@@ -60,6 +66,7 @@
 HttpFront::Options Node::frontOptions(const Budget& budget) {
   HttpFront::Options out;
   out.connections.connections = budget.clients;
+  out.lingering = budget.lingering;
   out.bodiesBytes = budget.bodies;
   return out;
 }
@@ -87,8 +94,10 @@
                                                    log_.info("discovery", {{"trouble", trouble}});
                                                  },
                                                  [this] { return list_.version(); }});
-  front_ = std::make_unique<HttpFront>(loop_, Poco::Net::SocketAddress(config_.listen), frontOptions(budget_),
-                                       config_.provision, *router_, [this] { return ready(); });
+  front_ = std::make_unique<HttpFront>(
+      loop_, Poco::Net::SocketAddress(config_.listen), frontOptions(budget_), config_.provision, *router_,
+      HttpFront::Events{[this] { return ready(); },
+                        [this](int status, std::string_view text) { onTurnedAway(status, text); }});
   log_.info("listening", {{"name", config_.name},
                           {"address", address().toString()},
                           {"discovery", config_.discovery},
@@ -159,6 +168,7 @@
 }
 
 void Node::report() {
+  turnedAway_.clear();
   log_.info("status", {{"summary", summary()}});
   reportAlarm_.start(kReportEvery, [this] { report(); });
 }
@@ -193,6 +203,12 @@
   return at == engineNames_.end() ? std::to_string(id.value) : at->second;
 }
 
+// One line for each cause between two reports; the status line tells how many there were.
+void Node::onTurnedAway(int status, std::string_view text) {
+  if (turnedAway_.size() < kTurnedAwayCauses && turnedAway_.emplace(text).second)
+    log_.info("turned-away", {{"status", status}, {"cause", text}});
+}
+
 void Node::onAttempt(const routing::Order& order) {
   if (!log_.debugs()) return;
   log_.debug("attempt", {{"request", order.workId},
--- a/src/platform/node/node.h
+++ b/src/platform/node/node.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "log/log.h"
@@ -45,6 +46,7 @@
   void report();
   bool ready() const;
   std::string nameOf(ServerId id) const;
+  void onTurnedAway(int status, std::string_view text);
 
   void onAttempt(const routing::Order& order) override;
   void onAttemptEnded(routing::AttemptId id, ServerId server, const routing::AttemptResult& result) override;
@@ -67,6 +69,7 @@
   timing::Alarm drainAlarm_;
   timing::Alarm reportAlarm_;
   Micros startedAt_;
+  std::set<std::string, std::less<>> turnedAway_;  // causes that were logged since the latest report
   bool listHeard_ = false;
   bool draining_ = false;
   std::function<void()> drained_;
--- a/tests/path/stream_test.cpp
+++ b/tests/path/stream_test.cpp
@@ -104,6 +104,27 @@
   EXPECT_EQ(there.cause, CloseCause::peerClosed);
 }
 
+// Unread bytes at the close make it a reset: that is how the peer knows that nothing of them was taken.
+TEST_F(StreamTest, AnEndedSideThatLeavesWhatComesReadsNothingAndSeesThePeersClose) {
+  there.stream->finishSending(Stream::Inbound::leave);
+  here.stream->send("behind the end");
+  ASSERT_TRUE(until([&] { return here.cause.has_value(); }, 1'000'000));  // and closes with it
+  EXPECT_EQ(here.cause, CloseCause::peerClosed);
+  ASSERT_TRUE(until([&] { return there.cause.has_value(); }, 1'000'000));
+  EXPECT_EQ(there.cause, CloseCause::peerClosed);
+  EXPECT_EQ(there.got, "");
+}
+
+// Connections that the system has accepted may carry requests already.
+TEST_F(StreamTest, AListenerTakesWhatWaitsBeforeItCloses) {
+  Poco::Net::StreamSocket waiting(listener.address());
+  const auto before = there.stream.get();
+  listener.close();
+  EXPECT_NE(there.stream.get(), before);
+  waiting.sendBytes("x", 1);
+  EXPECT_TRUE(until([&] { return there.got == "x"; }, 1'000'000));
+}
+
 TEST_F(StreamTest, APeersCloseShowsBeforeItIsRead) {
   EXPECT_FALSE(there.stream->peerGone());
   there.stream->pauseReading(true);
--- /dev/null
+++ b/tests/support/front_world.h
@@ -0,0 +1,191 @@
+// The HTTP front and the router core on a real loop, with clients on raw sockets and engines that do what the
+// test says. The loop stands still whenever the test's thread is at work, so what a peer does between two
+// turns is ready at once when the next turn begins.
+#pragma once
+
+#include <Poco/Net/NetException.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "path/platform_world.h"
+#include "platform/front/http_front.h"
+
+namespace garnethook::test {
+
+// Engines without sockets. Each attempt is recorded; `script` says what comes of it.
+class StubEngines final : public routing::Engines {
+ public:
+  struct Attempt {
+    routing::AttemptId id;
+    routing::Job job = routing::Job::whole;
+    Micros timeout = 0;
+    std::string workId;
+  };
+  using Script = std::function<void(const Attempt&)>;
+
+  explicit StubEngines(net::Loop& loop) : loop_(loop) {}
+
+  void begin(const routing::Order& order) override {
+    const Attempt attempt{order.attempt, order.job, order.timeout, std::string(order.workId)};
+    begun.push_back(attempt);
+    loop_.post([this, attempt] { script ? script(attempt) : succeed(attempt); });
+  }
+  void cancel(routing::AttemptId) override { ++cancelled; }
+  routing::Reach reach(routing::AttemptId) const override { return routing::Reach::engine; }
+  void release(ServerId server, RequestId request, const std::string&) override {
+    loop_.post([this, server, request] { events->onReleaseEnded(server, request, true); });
+  }
+  void probe(ServerId) override {}
+
+  void succeed(const Attempt& attempt) {
+    if (attempt.job == routing::Job::read) return end(attempt, Outcome::readDone);
+    events->onTokens(attempt.id, kEvent, 1, {});
+    end(attempt, Outcome::served);
+  }
+  void end(const Attempt& attempt, Outcome outcome) {
+    events->onAttemptEnded(attempt.id, {.outcome = outcome});
+  }
+  std::size_t count(routing::Job job) const {
+    return static_cast<std::size_t>(
+        std::count_if(begun.begin(), begun.end(), [&](const auto& a) { return a.job == job; }));
+  }
+
+  routing::EngineEvents* events = nullptr;
+  Script script;
+  std::vector<Attempt> begun;
+  std::size_t cancelled = 0;
+
+ private:
+  net::Loop& loop_;
+};
+
+// A client on a blocking socket of its own, whose every step is the test's.
+class BlockingClient {
+ public:
+  explicit BlockingClient(const Poco::Net::SocketAddress& to) : socket_(to) {
+    socket_.setNoDelay(true);
+    socket_.setReceiveTimeout(Poco::Timespan(0, 1000));
+  }
+  void send(std::string_view text) { socket_.sendBytes(text.data(), static_cast<int>(text.size())); }
+  void halfClose() { socket_.shutdownSend(); }
+  void close() { socket_.close(); }
+  void reset() {
+    socket_.setLinger(true, 0);
+    socket_.close();
+  }
+  // Takes what has come so far.
+  void receive() {
+    std::array<char, 65536> piece{};
+    try {
+      while (const int n = socket_.receiveBytes(piece.data(), static_cast<int>(piece.size())))
+        got.append(piece.data(), static_cast<std::size_t>(n));
+      ended = true;
+    } catch (const Poco::TimeoutException&) {
+    } catch (const Poco::Net::ConnectionResetException&) { wasReset = true; }
+  }
+  // Whether the router's side has ended with a reset; nothing more is read.
+  bool resetSeen() {
+    int error = 0;
+    socket_.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
+    return wasReset || error == ECONNRESET || error == EPIPE;
+  }
+  std::size_t count(std::string_view part) const {
+    std::size_t n = 0;
+    for (auto at = got.find(part); at != std::string::npos; at = got.find(part, at + part.size())) ++n;
+    return n;
+  }
+  bool has(std::string_view part) const { return count(part) > 0; }
+
+  // Streams that came to their last chunk.
+  std::size_t streams() const { return count("\r\n" + std::string(kLast)); }
+
+  std::string got;
+  bool ended = false;
+  bool wasReset = false;
+
+ private:
+  Poco::Net::StreamSocket socket_;
+};
+
+// A request for class `kind`, as a client writes it.
+inline std::string clientRequest(const std::string& id, const std::string& kind = "chat",
+                                 const std::string& more = "", int expiresMs = 3000) {
+  const std::string body = R"({"model":"m"})";
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Trace-Id: " + id + "\r\nX-Qos: " + kind +
+         "\r\nX-Expires-In-Ms: " + std::to_string(expiresMs) + "\r\nX-Props: prompt_len=100,max_out=10\r\n" +
+         more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class FrontWorld : public LoopRunner {
+ public:
+  explicit FrontWorld(const platform::HttpFront::Options& options = {})
+      : engines(loop), config(testConfig()) {
+    routing::Options core;
+    core.settings = config.provision.settings;
+    core.instance = "n0";
+    core.streams.margin = 0;
+    core.streams.deadlineEnds = false;
+    router = std::make_unique<routing::Router>(core, loop, engines, observer_);
+    engines.events = router.get();
+    platform::TargetList list;
+    list.apply(platform::parseTargets(
+        R"({"revision":1,"complete":true,"members":[)"
+        R"({"id":"r","host_port":"127.0.0.1:1","locality":"a","flavor":"m1","cell":1,"phase":"ready"},)"
+        R"({"id":"w","host_port":"127.0.0.1:2","locality":"a","flavor":"m2","cell":1,"phase":"ready"}]})"));
+    const membership::Names names{config.provision.kindNames, config.provision.zoneNames};
+    router->onList(membership::toServerList(list.engines(), names, ServerList::Kind::complete));
+    front = std::make_unique<platform::HttpFront>(loop, Poco::Net::SocketAddress("127.0.0.1", 0), options,
+                                                  config.provision, *router,
+                                                  platform::HttpFront::Events{[] { return true; }});
+  }
+  ~FrontWorld() { stopLoop(); }
+
+  static platform::PlatformConfig testConfig() {
+    return platform::readConfig(config::JsonFile::parse("config.json", platformConfigText("127.0.0.1:1")),
+                                [](const char*) { return std::nullopt; });
+  }
+  std::unique_ptr<BlockingClient> client() { return std::make_unique<BlockingClient>(front->address()); }
+  // A client whose connection has been accepted; with `answered` it has had an answer and rests.
+  std::unique_ptr<BlockingClient> acceptedClient(bool answered) {
+    const auto before = front->counters().accepted;
+    auto c = client();
+    EXPECT_TRUE(until([&] { return front->counters().accepted > before; }, 1'000'000));
+    if (!answered) return c;
+    c->send("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(until([&] { return (c->receive(), c->has("ready\n")); }, 1'000'000));
+    c->got.clear();
+    return c;
+  }
+  // Runs the loop until the client has `n` whole answers by the engines.
+  bool served(BlockingClient& c, std::size_t n, Micros limit = 2'000'000) {
+    return until([&] { return (c.receive(), c.streams() >= n); }, limit);
+  }
+  bool ended(BlockingClient& c, Micros limit = 2'000'000) {
+    return until([&] { return (c.receive(), c.ended || c.wasReset); }, limit);
+  }
+  // Nothing is open or held, and the front accounts for nothing.
+  bool clean() {
+    return until(
+        [&] {
+          return router->open() == 0 && router->lives() == 0 && front->openRequests() == 0 &&
+                 router->held().held() + router->held().releasing() == 0 && front->heldBytes() == 0;
+        },
+        2'000'000);
+  }
+
+  StubEngines engines;
+  platform::PlatformConfig config;
+  std::unique_ptr<routing::Router> router;
+  std::unique_ptr<platform::HttpFront> front;
+
+ private:
+  struct Silent final : routing::Observer {};
+  Silent observer_;
+};
+
+}  // namespace garnethook::test
--- a/tests/support/loop_runner.h
+++ b/tests/support/loop_runner.h
@@ -41,6 +41,16 @@
     until([] { return false; }, time);
   }
 
+  // Lets the loop take a turn or two: what is due or ready by now is dispatched.
+  void turn() {
+    for (int i = 0; i < 2; ++i) until([] { return true; });
+  }
+  // Time goes on while the loop stands still, so that timers come due that it has not seen.
+  void stall(net::Micros time) {
+    const net::Micros end = loop.now() + time;
+    while (loop.now() < end) std::this_thread::yield();
+  }
+
   net::Loop loop;
 
  protected:
