Tests start the program itself and send it its signals

No test ran `garnethook run` as a process, so nothing held its signals, its start and its limits together. process_test starts the built program with scripted engines and discovery on loopback: SIGTERM over streams, hung engines, resting and new connections; SIGHUP to another discovery and to files that can't be read; starts with discovery answering, silent and refusing; idle clients that fill the descriptors while discovery is down. The raw peers moved from the platform's world into tests/support, where both use them.

--- /dev/null
+++ b/tests/process/process_world.h
@@ -0,0 +1,167 @@
+// The built program as a child process, with engines, discovery and clients on the test's own loop.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "child_process.h"
+#include "scripted_discovery.h"
+#include "support/loop_runner.h"
+#include "support/platform_peers.h"
+
+namespace garnethook::test {
+
+inline constexpr net::Micros kMillisecond = 1000;
+inline constexpr net::Micros kSecond = 1'000'000;
+
+/// A folder of its own for each test, removed with what it holds.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "garnethook-process-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
+    path_ = pattern;
+  }
+  ~TemporaryFolder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  std::string file(const std::string& name) const { return (path_ / name).string(); }
+
+ private:
+  std::filesystem::path path_;
+};
+
+/// A reader, two writers, discovery and the program that routes between them.
+class ProcessWorld : public LoopRunner {
+ public:
+  ProcessWorld()
+      : reader(loop),
+        writer(loop),
+        otherWriter(loop),
+        discovery(loop),
+        configFile(folder.file("config.json")),
+        errorFile(folder.file("errors")) {
+    reader.script = [](ScriptedEngine::Request& r) { answerCalls(r) || (r.stream->send(kRead), true); };
+    writer.script = otherWriter.script = [](ScriptedEngine::Request& r) {
+      answerCalls(r) || (r.stream->send(kWhole), true);
+    };
+    members = memberText("r", reader, "m1") + "," + memberText("w", writer, "m2");
+    discovery.list = listText(1, true, members);
+    writeConfig(platformConfigText(discovery.address()));
+  }
+  ~ProcessWorld() {
+    if (testing::Test::HasFailure()) std::cerr << "standard error of the program:\n" << errors() << std::endl;
+    program.reset();
+    stopLoop();
+  }
+
+  /// Replaces the configuration file in one step.
+  void writeConfig(const std::string& text) {
+    const std::string draft = configFile + ".draft";
+    std::ofstream(draft, std::ios::binary) << text;
+    std::filesystem::rename(draft, configFile);
+  }
+  /// Starts the program; `descriptors`: its limit of them, 0 for the test's own.
+  void launch(rlim_t descriptors = 0) {
+    std::filesystem::remove(errorFile);
+    program.reset();
+    program = std::make_unique<ChildProcess>(ChildOptions{{GARNETHOOK_PROGRAM, "run", "--log", "info"},
+                                                          {"RELAY_CONFIG=" + configFile},
+                                                          errorFile,
+                                                          descriptors});
+  }
+  /// Starts the program and waits until it says that it is ready.
+  void start(rlim_t descriptors = 0) {
+    launch(descriptors);
+    ASSERT_TRUE(untilReady()) << errors();
+  }
+  /// Waits for `GET /-/ready` = 200.
+  bool untilReady(net::Micros limit = 10 * kSecond) {
+    std::unique_ptr<RawClient> asking;
+    return until([&] { return readyNow(asking); }, limit);
+  }
+  /// What the program wrote on its standard error.
+  std::string errors() const {
+    std::ifstream file(errorFile, std::ios::binary);
+    return std::string(std::istreambuf_iterator<char>(file), {});
+  }
+  /// How many of its lines hold the text, or both texts.
+  std::size_t linesWith(std::string_view part, std::string_view other = {}) const {
+    std::istringstream lines(errors());
+    std::size_t found = 0;
+    for (std::string line; std::getline(lines, line);)
+      if (line.find(part) != std::string::npos && line.find(other) != std::string::npos) ++found;
+    return found;
+  }
+  /// The address at which the program listens, as its log tells; empty before that.
+  std::string address() const {
+    const std::string text = errors();
+    const auto line = text.find("listening");
+    if (line == std::string::npos) return {};
+    constexpr std::string_view key = R"("address":")";
+    const auto from = text.find(key, line);
+    if (from == std::string::npos) return {};
+    const auto end = text.find('"', from + key.size());
+    if (end == std::string::npos) return {};
+    return text.substr(from + key.size(), end - from - key.size());
+  }
+  std::unique_ptr<RawClient> client() const { return clientOf(address()); }
+  std::unique_ptr<RawClient> clientOf(const std::string& to) const {
+    return std::make_unique<RawClient>(const_cast<net::Loop&>(loop), Poco::Net::SocketAddress(to));
+  }
+  /// Asks on a new connection and waits for the whole answer.
+  bool served(const std::string& id, net::Micros limit = 3 * kSecond) {
+    const auto asking = client();
+    asking->ask(id);
+    return until([&] { return asking->has(kLast); }, limit);
+  }
+  /// Waits until the program has ended by itself; its status has to be 0.
+  void expectOrderlyEnd(net::Micros limit = 8 * kSecond) {
+    ASSERT_TRUE(until([&] { return program->ended(); }, limit)) << "it still runs";
+    EXPECT_EQ(program->exitStatus(), 0);
+    EXPECT_EQ(linesWith(R"("draining")"), 1u);
+    EXPECT_EQ(linesWith(R"("drained")"), 1u);
+  }
+  /// Whether an engine was sent work with this id.
+  bool seenAtEngines(const std::string& id) const {
+    for (const ScriptedEngine* engine : {&reader, &writer, &otherWriter})
+      for (const auto& request : engine->seen)
+        if (request.head.method == "POST" && http1::find(request.head.fields, "x-trace-id") == id)
+          return true;
+    return false;
+  }
+
+  TemporaryFolder folder;
+  ScriptedEngine reader;
+  ScriptedEngine writer;
+  ScriptedEngine otherWriter;
+  ScriptedDiscovery discovery;
+  std::string configFile;
+  std::string errorFile;
+  std::string members;
+  std::unique_ptr<ChildProcess> program;
+
+ private:
+  bool readyNow(std::unique_ptr<RawClient>& asking) const {
+    if (asking && asking->has("HTTP/1.1 200")) return true;
+    if (asking && !asking->closed && !asking->has("HTTP/1.1 503")) return false;
+    asking.reset();
+    const std::string to = address();
+    if (to.empty()) return false;
+    asking = clientOf(to);
+    asking->stream.send("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    return false;
+  }
+};
+
+}  // namespace garnethook::test
