--- a/tests/support/front_world.h
+++ b/tests/support/front_world.h
@@ -12,8 +12,11 @@
 #include <string>
 #include <vector>
 
-#include "path/platform_world.h"
+#include "platform/config/platform_config.h"
+#include "platform/discovery/target_list.h"
 #include "platform/front/http_front.h"
+#include "support/loop_runner.h"
+#include "support/platform_peers.h"
 
 namespace garnethook::test {
 
