Tests of the engine list have a folder for each process

Need: run side by side, two tests of ListTest shared one folder under the system's temporary one and met each other's files: two of 471 failed with four at once, and two at once is what the test command runs. Change: the folder's name ends in the process's id; no check changed.

--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -1,5 +1,6 @@
 // Modules free of I/O: the timer wheel, held states, stream guard, final rules, the engine list.
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
@@ -217,7 +218,8 @@
   ListTest() { std::filesystem::create_directories(folder_); }
   ~ListTest() override { std::filesystem::remove_all(folder_); }
   void write(const std::string& text) { std::ofstream(path_) << text; }
-  std::string folder_ = testing::TempDir() + "list-test";
+  std::string folder_ =
+      testing::TempDir() + "list-test-" + std::to_string(::getpid());  // tests run side by side
   std::string path_ = folder_ + "/engines.json";
   std::string copy_ = folder_ + "/last.json";
   static constexpr const char* kTwo = R"({"engines":[{"name":"a","address":"127.0.0.1:1","kind":"k"},
