More crossings forced: bodies still coming, endless streams, cut lists, causes told once

Need: rows of docs/endings.md without a test, and new code without one (the bound on bodies that are still coming, the lines for refused requests, times that the settings leave out).

--- a/tests/path/crossings_test.cpp
+++ b/tests/path/crossings_test.cpp
@@ -362,5 +362,34 @@
   EXPECT_TRUE(w.served(*other, 1));
 }
 
+// A head that tells a body of `length` bytes, and as many of them as `sent` tells.
+std::string unfinishedRequest(const std::string& id, std::size_t length, std::size_t sent) {
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Trace-Id: " + id +
+         "\r\nX-Qos: chat\r\nX-Expires-In-Ms: 3000\r\nContent-Length: " + std::to_string(length) +
+         "\r\n\r\n" + std::string(sent, ' ');
+}
+
+// Many clients that each send most of a large body and wait would fill the process's memory.
+TEST(Crossing, BodiesThatAreStillComingCountAsThoseOfOpenRequestsDo) {
+  constexpr std::size_t kBody = 20'000;
+  Options options;
+  options.bodiesBytes = 2 * kBody + 10'000;
+  FrontWorld w(options);
+  auto first = w.acceptedClient(false);
+  auto second = w.acceptedClient(false);
+  auto third = w.acceptedClient(false);
+  first->send(unfinishedRequest("a", kBody, kBody - 1));
+  second->send(unfinishedRequest("b", kBody, kBody - 1));
+  ASSERT_TRUE(w.until([&] { return w.front->heldBytes() == 2 * (kBody - 1); }, 1'000'000));
+  third->send(unfinishedRequest("c", kBody, kBody - 1));
+  ASSERT_TRUE(w.ended(*third));
+  EXPECT_TRUE(third->has("HTTP/1.1 503")) << third->got;
+  EXPECT_TRUE(third->has("Retry-After: "));
+  EXPECT_LE(w.front->heldBytes(), options.bodiesBytes);
+  first->close();
+  second->close();
+  EXPECT_TRUE(w.clean());  // and all of it is given back
+}
+
 }  // namespace
 }  // namespace garnethook::test
--- a/tests/path/platform_path_test.cpp
+++ b/tests/path/platform_path_test.cpp
@@ -380,6 +380,43 @@
   EXPECT_TRUE(w.until([&] { return w.node->list().version() == 3; }, 1'000'000));
 }
 
+// A list that is cut short by the end of its watch is asked for again.
+TEST_F(PlatformPath, AListThatIsCutShortIsAskedForAgain) {
+  ASSERT_EQ(w.watches.size(), 1u);
+  w.firstList = R"({"revision":2,"complete":false,"members":[)" + w.member("w2", w.otherWriter, "m2") + "]}";
+  w.watches[0].second->piece(w.firstList.substr(0, w.firstList.size() / 2));
+  w.pass(20'000);
+  w.watches[0].second->cut();
+  ASSERT_TRUE(w.until([&] { return w.watches.size() == 2; }, 2'000'000));
+  EXPECT_NE(w.watches[1].first.find("index=1"), std::string::npos);
+  EXPECT_TRUE(w.until([&] { return w.node->list().version() == 2; }, 1'000'000));
+}
+
+// An answer is bounded like any message; its client must not wait for an end that never comes.
+TEST_F(PlatformPath, AStreamThatNeverEndsIsEndedAtTheBoundOfAnAnswer) {
+  constexpr std::size_t kMost = 256 * 1024;
+  std::size_t sent = 0;
+  std::function<void(net::Stream*)> goOn = [&](net::Stream* stream) {
+    const std::string event = chunk("data: " + std::string(20'000, 'x') + "\n\n");
+    sent += event.size();
+    if (!stream->open() || sent > 4 * kMost) return;
+    stream->send(event);
+    w.loop.after(1'000, [&goOn, stream] { goOn(stream); });
+  };
+  w.writer.script = [&](Request& r) {
+    if (PlatformWorld::answerCalls(r)) return;
+    r.stream->send(kHead);
+    goOn(r.stream);
+  };
+  auto c = w.client();
+  c->ask("endless");
+  EXPECT_TRUE(w.until([&] { return c->closed; }, 5'000'000));
+  EXPECT_LE(c->got.size(), kMost + 4096);
+  EXPECT_GT(c->got.size(), kMost / 2);
+  EXPECT_FALSE(c->has("\r\n" + std::string(kLast)));
+  EXPECT_TRUE(w.clean());
+}
+
 // What an engine does in the midst of its answer, and what is owed then.
 struct BrokenAnswer {
   const char* name;
--- a/tests/process/process_test.cpp
+++ b/tests/process/process_test.cpp
@@ -304,6 +304,57 @@
   w.expectOrderlyEnd();
 }
 
+TEST_F(ProgramTest, ReadinessEndsWithTheTermination) {
+  ASSERT_NO_FATAL_FAILURE(w.start());
+  const std::string address = w.address();
+  const auto streaming = openStream("s1");
+  w.program->signal(SIGTERM);
+  ASSERT_TRUE(w.until([&] { return w.linesWith(R"("draining")") == 1; }, kHangs));
+  const auto asking = w.clientOf(address);
+  asking->stream.send("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(w.until([&] { return asking->has("HTTP/1.1 503"); }, 500 * kMillisecond)) << asking->got;
+  expectWholeStream(*streaming);
+  w.expectOrderlyEnd();
+}
+
+// ---- bad input ----
+
+TEST_F(ProgramTest, BadRequestsAreToldOnceForEachCause) {
+  constexpr int kOfEach = 20;
+  const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: x\r\nX-Expires-In-Ms: 1000\r\n";
+  const std::array<std::string, 4> bad{
+      "\x01\x02\r\n\r\n", head + "X-Qos: none\r\nContent-Length: 2\r\n\r\n{}",
+      head + "X-Qos: chat\r\nContent-Length: 3\r\n\r\n{,}", "GET / HTTP/1.1\r\n\r\n"};
+  ASSERT_NO_FATAL_FAILURE(w.start());
+  for (int i = 0; i < kOfEach; ++i) {
+    for (const std::string& text : bad) {
+      const auto client = w.client();
+      client->stream.send(text);
+      ASSERT_TRUE(w.until([&] { return client->closed; }, kHangs));
+      EXPECT_TRUE(client->has("HTTP/1.1 4")) << client->got;
+    }
+  }
+  ASSERT_TRUE(w.until([&] { return w.linesWith("turned-away") >= bad.size(); }, kHangs));
+  for (const char* cause : {"malformed", "X-Qos: no such class", "no JSON object", "no such resource"}) {
+    EXPECT_GE(w.linesWith("turned-away", cause), 1u) << w.errors();
+    EXPECT_LE(w.linesWith("turned-away", cause), 1 + w.linesWith(R"("event":"status")")) << w.errors();
+  }
+  EXPECT_TRUE(w.served("good"));
+}
+
+TEST_F(ProgramTest, SettingsWithoutTimesHaveUsableOnes) {
+  std::string text = platformConfigText(w.discovery.address());
+  for (const std::string& key :
+       {std::string(R"(,"dialTimeoutMs":250.0)"), std::string(R"("releaseWithinMs":500.0,)")}) {
+    const auto at = text.find(key);
+    ASSERT_NE(at, std::string::npos) << key;
+    text.erase(at, key.size());
+  }
+  w.writeConfig(text);
+  ASSERT_NO_FATAL_FAILURE(w.start());
+  for (int i = 0; i < 3; ++i) EXPECT_TRUE(w.served("r" + std::to_string(i), 2 * kSecond));
+}
+
 // ---- SIGHUP ----
 
 TEST_F(ProgramTest, AReloadMovesTheWatchAndOpenStreamsGoOn) {
