--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -45,6 +45,8 @@
 // What was seen of a server's queue is believed for about this long; in the mean of all, this many aims.
 constexpr double kReportLife = 1e6;
 constexpr double kQueueLife = 2;
+// Weight, in aims, of the start: that reported tokens cost a read's full price.
+constexpr double kToldPrior = 1;
 // Bounds of a reader's weight in the hash.
 constexpr double kPullMin = 0.1;
 constexpr double kPullMax = 1.4;
@@ -742,6 +744,7 @@
     f.size = promptAt(r, s) - f.promised;
     f.work = readWork(r, s);
     f.predicted = readCost(r, s);
+    f.told = queue(s) / cameTrue();
     const Server* writer = pickWriter(r, s.info.cell, kEntryRoom);
     const double first = writer ? firstToken(*writer) : fleetFirstToken();
     if (!hopeful(r, f.predicted + first, f.work, hopeUntil(r)) || !writer) return end(r, true);
@@ -905,10 +908,22 @@
     s.report = report;
     s.reportAt = now_;
     s.ownAtReport = s.held;
-    // Queued tokens cost the curve's slope; an average read would price a cached prefix into every token.
+    // Queued tokens cost the curve's slope, as far as reads sent there did wait for them: many may be cached,
+    // or read side by side. An average read would price a cached prefix into every token.
     const double slope = curve_.predict(2000, 0) - curve_.predict(1000, 0);
     const auto& queued = report.queuedKiloTokens ? report.queuedKiloTokens : report.queuedRequests;
-    if (queued) learnQueue(s, *queued * (report.queuedKiloTokens ? slope : readTime_) - backlog(s));
+    if (queued)
+      learnQueue(s, cameTrue() * *queued * (report.queuedKiloTokens ? slope : readTime_) - backlog(s));
+  }
+
+  // Of the queues that were reported, the part that reads met. Guards against refusing for queues of cached
+  // prompts; harm: a queue that builds up beside quick ones is believed late.
+  double cameTrue() const { return (kToldPrior * aim_ + met_) / (kToldPrior * aim_ + told_); }
+
+  void learnCameTrue(const Server& s, const Flight& f, double waited) {
+    if (!s.report.queuedKiloTokens && !s.report.queuedRequests) return;
+    told_ += f.told - told_ / kCurveMemory;
+    met_ += std::clamp(waited, 0.0, f.told) - met_ / kCurveMemory;
   }
 
   void judge(Request& r, Server& s, const Flight& f, const AttemptEnded& event) {
@@ -951,6 +966,7 @@
   void readDone(Request& r, Server& s, const Flight& f, double found) {
     const double took = asDouble(now_ - f.sentAt);
     const double alone = asDouble(now_ - std::max(f.sentAt, s.readDoneAt));
+    learnCameTrue(s, f, took - curve_.predict(promptAt(r, s), found) * speed(s));
     curve_.learn(promptAt(r, s), found, alone / speed(s));
     if (!s.report.queuedKiloTokens && !s.report.queuedRequests)
       learnQueue(s, (1 - evidence_) * (alone - curve_.predict(promptAt(r, s), found) * speed(s)));
@@ -1107,6 +1123,8 @@
   double firstTime_ = 0;  // first tokens of all writers, of late
   Micros firstAt_ = 0;
   double readTime_ = 0;
+  double told_ = 0;  // queues reported where reads were sent, as time, of late ...
+  double met_ = 0;   // ... and what of them was waited
   double homeReads_ = 1;
   double homeShare_ = 0;            // of shared beginnings, found at homes that the table did not know
   std::array<double, 3> queues_{};  // by role: the mean of the queues seen of late
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -22,6 +22,7 @@
   Micros sentAt = 0;
   double work = 0;       // predicted time of the read alone
   double predicted = 0;  // predicted time to the next sign, queue included
+  double told = 0;       // others' queue there at the send, by reports alone
   double promised = 0;   // tokens that the table said were cached
   double held = 0;       // tokens of memory at a writer
   Micros patience = 0;   // how long silence is borne; 0: until the deadline
--- a/tests/little_seen_test.cpp
+++ b/tests/little_seen_test.cpp
@@ -57,6 +57,40 @@
   EXPECT_EQ(d.count<Refuse>(100), 1);
 }
 
+// Readers tell of long queues, and yet each read there comes back at once: what waits is kept, or read side
+// by side.
+TEST(LittleSeen, ReportedQueuesThatNoReadMetRefuseNothing) {
+  Driver d(many());
+  d.list({server(1, kReader), server(2, kReader), server(3, kReader), server(11, kWriter)});
+  for (std::uint64_t id = 1; id <= 60; ++id) {
+    d.give(begun(d, id, 500 + id, 3000));
+    if (d.count<Send>(id) == 0) continue;
+    d.pass(30 * kMs);
+    readAndAnswered(d, id, 20, 3000);
+    d.pass(300 * kMs);
+  }
+  int refused = 0;
+  for (std::uint64_t id = 30; id <= 60; ++id) refused += d.count<Refuse>(id);
+  EXPECT_EQ(refused, 0);
+}
+
+// Where reads do wait as long as was told, they are held back.
+TEST(LittleSeen, ReportedQueuesThatReadsMetAreBelieved) {
+  Driver d(many());
+  d.list({server(1, kReader), server(2, kReader), server(3, kReader), server(11, kWriter)});
+  for (std::uint64_t id = 1; id <= 30; ++id) {
+    d.give(begun(d, id, 500 + id, 3000));
+    if (d.count<Send>(id) == 0) continue;
+    d.pass(700 * kMs);
+    readAndAnswered(d, id, 10, 3000);
+  }
+  d.give(begun(d, 100, 900, 3000));
+  d.pass(700 * kMs);
+  if (d.count<Send>(100) == 1) readAndAnswered(d, 100, 60, 3000);
+  d.give(begun(d, 101, 901, 3000));
+  EXPECT_EQ(d.count<Refuse>(101), 1);
+}
+
 // Reader A was idle when it was met last; what was met since is jammed.
 TEST(LittleSeen, AReaderNotMetOfLateIsTakenForTheMeanNotForIdle) {
   Driver d(many());
