Events' delay is measured beside lists, a flood and a neighbour that reads nothing

Need: the term that an event is passed on within 0.3 s had no test. Change: a test on real sockets notes each event's delay over 20 streams while lists of 102 engines come every 50 ms.

--- a/tests/path/platform_path_test.cpp
+++ b/tests/path/platform_path_test.cpp
@@ -1,6 +1,8 @@
 // Whole paths on the platform: raw clients, scripted engines and discovery on loopback. Each test causes the
 // trouble that it names.
+#include <algorithm>
 #include <array>
+#include <iostream>
 
 #include "platform_world.h"
 
@@ -417,6 +419,82 @@
   EXPECT_TRUE(w.clean());
 }
 
+// A client that notes how long each event of its stream took from the engine's write, whose time it tells.
+class TimingClient final : public net::StreamEvents {
+ public:
+  TimingClient(net::Loop& loop, const Poco::Net::SocketAddress& to, const std::string& id)
+      : loop_(loop), stream_(loop, to, "", 1'000'000, *this) {
+    stream_.send(requestText(id));
+  }
+  void onOctets(std::string_view octets) override {
+    text_ += octets;
+    constexpr std::string_view kTime = "data: {\"at\":";
+    for (auto at = text_.find(kTime, read_); at != std::string::npos; at = text_.find(kTime, read_)) {
+      const auto end = text_.find('}', at);
+      if (end == std::string::npos) return;
+      delays.push_back(loop_.now() - std::stoll(text_.substr(at + kTime.size(), end - at - kTime.size())));
+      read_ = end;
+    }
+  }
+  void onClosed(net::CloseCause) override {}
+  std::vector<Micros> delays;
+
+ private:
+  net::Loop& loop_;
+  std::string text_;
+  std::size_t read_ = 0;
+  net::Stream stream_;
+};
+
+// Events go on as they come, beside lists of a hundred engines, a flood and a neighbour that reads nothing.
+TEST_F(PlatformPath, EventsAreNotHeldBackByListsFloodsOrSlowNeighbours) {
+  constexpr std::size_t kStreams = 20;
+  constexpr int kEvents = 100;
+  constexpr Micros kApart = 5'000;
+  constexpr Micros kWithin = 300'000;
+  std::vector<net::Stream*> streams;
+  w.writer.script = [&](Request& r) {
+    if (PlatformWorld::answerCalls(r)) return;
+    r.stream->send(kHead);
+    streams.push_back(r.stream);
+  };
+  auto slow = w.client();
+  slow->ask("slow");
+  ASSERT_TRUE(w.until([&] { return streams.size() == 1; }, 2'000'000));
+  slow->stream.pauseReading(true);
+  streams[0]->send(chunk("data: " + std::string(60'000, 'x') + "\n\n"));
+  std::vector<std::unique_ptr<TimingClient>> clients;
+  for (std::size_t i = 0; i < kStreams; ++i)
+    clients.push_back(std::make_unique<TimingClient>(w.loop, w.node->address(), "e" + std::to_string(i)));
+  ASSERT_TRUE(w.until([&] { return streams.size() == kStreams + 1; }, 3'000'000));
+  int sent = 0;
+  std::function<void()> goOn = [&] {
+    for (std::size_t i = 1; i < streams.size(); ++i)
+      streams[i]->send(chunk("data: {\"at\":" + std::to_string(w.loop.now()) + "}\n\n"));
+    if (sent % 10 == 0) {
+      std::string list = R"({"revision":)" + std::to_string(sent + 2) + R"(,"complete":true,"members":[)" +
+                         w.member("r", w.reader, "m1") + "," + w.member("w", w.writer, "m2");
+      for (int e = 0; e < 100; ++e) list += "," + w.member("x" + std::to_string(e), w.otherWriter, "m2");
+      w.watches[0].second->piece(list + "]}\n");
+    }
+    if (++sent < kEvents) w.loop.after(kApart, goOn);
+  };
+  auto flood = w.client();
+  for (int i = 0; i < 500; ++i) flood->stream.send("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+  goOn();
+  ASSERT_TRUE(w.until([&] { return clients.back()->delays.size() == kEvents; }, 10'000'000));
+  std::vector<Micros> delays;
+  for (const auto& c : clients) delays.insert(delays.end(), c->delays.begin(), c->delays.end());
+  ASSERT_EQ(delays.size(), kStreams * kEvents);
+  std::sort(delays.begin(), delays.end());
+  std::cout << "delay of an event, ms: p50 " << delays[delays.size() / 2] / 1000 << ", p99 "
+            << delays[delays.size() * 99 / 100] / 1000 << ", most " << delays.back() / 1000 << "\n";
+  EXPECT_LE(delays.back(), kWithin);
+  for (auto* s : streams) s->send(chunk(kDone) + kLast);
+  slow->stream.pauseReading(false);
+  EXPECT_TRUE(w.clean());
+}
+
 // What an engine does in the midst of its answer, and what is owed then.
 struct BrokenAnswer {
   const char* name;
