Keyed work that may have run is read anew within its group and window alone

Ruled out: the window of writes, which Keyed.NoRepeatBeginsBehindTheWindow holds on both sides.

Change: candidates() keeps to the group for every send, and what is waited for is in it as well; a further read has to be written within the window. Where a writer of the group was passed over for one outside of it, which then could not be used, it is asked again: Keyed.RepeatsStayInTheGroupAndItsTime passes to the deadline now, as a repeat is out until then; its checks are the same.

Keyed.ReadsAnewStayInTheGroup fails without it.

--- a/src/decision/brain.cpp
+++ b/src/decision/brain.cpp
@@ -502,7 +502,8 @@
     for (int mercy = 0; mercy < 3; ++mercy) {
       std::vector<const Server*> found;
       for (const Server* s : byRole_[static_cast<std::size_t>(role)])
-        if (usable(*s) && (mercy >= 1 || !failedAt(r, s->info.id)) && (mercy >= 2 || trusted(*s, r)))
+        if (usable(*s) && inScope(r, *s) && (mercy >= 1 || !failedAt(r, s->info.id)) &&
+            (mercy >= 2 || trusted(*s, r)))
           found.push_back(s);
       if (!found.empty()) return found;
     }
@@ -720,7 +721,7 @@
   // hope the answer comes at once: a client that is held back can't try elsewhere or come back in time.
   bool mayServeYet(const Request& r) const {
     return anyListed([&](const Server& s) {
-      return !usable(s) && (s.role != Role::writer || set_.writersRead) &&
+      return !usable(s) && inScope(r, s) && (s.role != Role::writer || set_.writersRead) &&
              readWork(r, s) + writeTime_ <= kHope * asDouble(hopeUntil(r) - now_);
     });
   }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -267,7 +267,7 @@
       // What an earlier read may have left waits for this one's arrival, or is let go of.
       job == Job::read && due.has_value(),
       a.timeout > 0 ? a.timeout : life->usableUntil - out.sentAt,
-      job == Job::read ? 0 : repeatUntil(options_.settings.classes[life->ask.requestClass], life->exposed)};
+      repeatUntil(options_.settings.classes[life->ask.requestClass], life->exposed)};
   observer_.onAttempt(order);
   engines_.begin(order);
 }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -129,7 +129,7 @@
   readOne(d, 1, kKeyed);
   const auto first = d.sentTo(1);
   d.end(1, Outcome::reset);
-  d.pass(4 * kSec);
+  d.pass(5 * kSec);  // to its deadline, as a repeat is out at the first writer
   for (const auto& [at, action] : d.log)
     if (const auto* send = std::get_if<Send>(&action); send && send->server.value >= 11) {
       EXPECT_EQ(send->server.value, first);  // the other writer is in another zone
@@ -138,6 +138,29 @@
   EXPECT_EQ(finals(d, 1), 1);
 }
 
+// A read is a further send too: other engines would not drop what comes of it.
+TEST(Keyed, ReadsAnewStayInTheGroup) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Driver d(settings(), seed);
+    d.list({server(1, kReader, 0, 0), server(2, kReader, 1, 1), server(11, kWriter, 0, 0),
+            server(12, kWriter, 1, 1)});
+    readOne(d, 1, kKeyed);
+    const bool firstZone = d.sentTo(1) == 11;
+    ASSERT_TRUE(firstZone || d.sentTo(1) == 12);
+    const auto before = d.log.size();
+    d.end(1, Outcome::reset);
+    d.end(1, Outcome::full, 0, true);  // the state is gone: the prompt has to be read anew
+    d.pass(5 * kSec);
+    for (auto at = before; at < d.log.size(); ++at)
+      if (const auto* send = std::get_if<Send>(&d.log[at].second)) {
+        EXPECT_EQ(send->server.value == 1 || send->server.value == 11, firstZone);
+      }
+    EXPECT_GE(d.count<Send>(1), 4);  // it was read anew
+    EXPECT_EQ(d.count<Refuse>(1), 0);
+    EXPECT_EQ(finals(d, 1), 1);
+  }
+}
+
 // Engines have forgotten the first try by then, and would run the repeat as work of its own.
 TEST(Keyed, NoRepeatBeginsBehindTheWindow) {
   for (const bool late : {false, true}) {
