KV releases are repeated while an attempt that was given up may go on at its engine

Cause: one confirmed release ended the tracking of a reservation. Engines finish a prefill that was given up, and spare what a decode still waits for: a confirmed release may have come too early. Answers of earlier calls ended later ones. Change: KvReservationTracker owns the question until state provably can't appear: an abandoned attempt has a time (what the engine was told, 1 s at least, 10 s at most; longer where the endpoint is silent), until which confirmed releases are repeated at 100 to 500 ms, but not while a newer state is awaited. Calls are numbered and only the latest counts; calls that throw or get no answer are made again. What an abandoned prefill left is released in time while its request waits for capacity; a start that is only dated anew drops no reservation; a rejected prefill does not hide an earlier release. Shutdown waits for repeats up to 0.1 s before the earliest kill. Log event kv-reservation tells every transition with its call number; status tells oldest, repeating, repeated. Tests changed: releases that the tests answer carry their call's number; clean() of the path tests asks for no unconfirmed release within the same bound as before and for none at all within 10 s more; RetriesAFailedRelease has a decode in flight, whose release is confirmed but not final.

--- a/src/engine/connection_pool.cpp
+++ b/src/engine/connection_pool.cpp
@@ -44,6 +44,11 @@
   return found == endpoints_.end() ? Responsiveness::unknown : found->second.responsiveness;
 }
 
+Micros ConnectionPool::lastHeardAt(EndpointId endpoint) const {
+  const auto found = endpoints_.find(endpoint.value);
+  return found == endpoints_.end() ? 0 : found->second.lastHeardAt;
+}
+
 void ConnectionPool::update(const membership::EndpointMap& endpoints) {
   std::unordered_set<std::uint64_t> listed;
   for (const auto& [name, spec] : endpoints) listed.insert(spec.id.value);
@@ -208,8 +213,10 @@
 }
 
 void ConnectionPool::onResponsiveness(Connection& connection, bool isResponsive) {
-  if (Endpoint* const endpoint = findEndpoint(connection.endpoint()))
-    endpoint->responsiveness = isResponsive ? Responsiveness::responsive : Responsiveness::unresponsive;
+  Endpoint* const endpoint = findEndpoint(connection.endpoint());
+  if (endpoint == nullptr) return;
+  endpoint->responsiveness = isResponsive ? Responsiveness::responsive : Responsiveness::unresponsive;
+  if (isResponsive) endpoint->lastHeardAt = loop_.now();
 }
 
 void ConnectionPool::onFinished(Connection& connection, bool isReusable) {
--- a/src/engine/http_engine_client.cpp
+++ b/src/engine/http_engine_client.cpp
@@ -53,16 +53,14 @@
                       formatRequest(*spec, "GET", path, {}, {}), connections().options().controlTimeout);
 }
 
-void HttpEngineClient::release(EndpointId endpoint, RequestId request, const std::string& traceId) {
+void HttpEngineClient::release(const routing::ReleaseCall& call, const std::string& traceId) {
   const std::string& path = connections().options().releasePath;
-  if (path.empty())
-    return connections().post(
-        [this, endpoint, request] { events().onReleaseEnded(endpoint, request, true); });
-  const auto done = [this, endpoint, request](int status, const std::optional<LoadReport>&) {
+  if (path.empty()) return connections().post([this, call] { events().onReleaseEnded(call, true); });
+  const auto done = [this, call](int status, const std::optional<LoadReport>&) {
     // 404: the endpoint holds nothing for the request, which is what is wanted.
-    events().onReleaseEnded(endpoint, request, (status >= 200 && status < 300) || status == 404);
+    events().onReleaseEnded(call, (status >= 200 && status < 300) || status == 404);
   };
-  sendControl(endpoint, "POST", path, traceId, nlohmann::json{{"request_id", traceId}}.dump(), done);
+  sendControl(call.endpoint, "POST", path, traceId, nlohmann::json{{"request_id", traceId}}.dump(), done);
 }
 
 void HttpEngineClient::probe(EndpointId endpoint) {
--- a/src/engine/http_engine_client.h
+++ b/src/engine/http_engine_client.h
@@ -21,7 +21,8 @@
   /// Sends an attempt; its result is reported later.
   void begin(const routing::AttemptSpec& attempt) override;
   /// Frees the KV cache of a request; the result is reported later.
-  void release(EndpointId endpoint, RequestId request, const std::string& traceId) override;
+  void release(const routing::ReleaseCall& call, const std::string& traceId) override;
+  bool canRelease() const override { return !connections().options().releasePath.empty(); }
   /// Probes an endpoint; the result is reported later.
   void probe(EndpointId endpoint) override;
   /// Fetches a document of at most 256 KiB by GET.
--- a/src/engine/pooled_engine_client.h
+++ b/src/engine/pooled_engine_client.h
@@ -24,10 +24,17 @@
     return pool_.deliveryState(attempt);
   }
 
+  /// When anything came from the endpoint last.
+  std::optional<Micros> lastHeardAt(EndpointId endpoint) const override {
+    return pool_.lastHeardAt(endpoint);
+  }
+
   /// The connections.
   const ConnectionPool& pool() const { return pool_; }
 
  protected:
+  /// The connections.
+  const ConnectionPool& connections() const { return pool_; }
   /// @param loop runs everything; must outlive the client
   /// @param options limits and timeouts
   PooledEngineClient(net::Loop& loop, const Options& options) : pool_(loop, options) {}
--- a/src/platform/engine/platform_engine_client.cpp
+++ b/src/platform/engine/platform_engine_client.cpp
@@ -45,18 +45,17 @@
                       std::move(writer), engine::reuseFor(attempt));
 }
 
-void PlatformEngineClient::release(EndpointId endpoint, RequestId request, const std::string& traceId) {
+void PlatformEngineClient::release(const routing::ReleaseCall& call, const std::string& traceId) {
   std::vector<ReleaseCandidate> candidates;
   for (const EndpointId id :
-       selectReleaseCandidates(connections().listedEndpoints(), endpoint, request.value)) {
+       selectReleaseCandidates(connections().listedEndpoints(), call.endpoint, call.request.value)) {
     const auto& spec = *connections().find(id);
     candidates.push_back(
         {id, spec.cell, spec.zone, spec.state == EndpointState::running, connections().responsiveness(id)});
   }
   auto release = std::make_shared<PendingRelease>();
-  release->route = releaseRoute(endpoint, ownZone_, std::move(candidates), request.value);
-  release->holder = endpoint;
-  release->request = request;
+  release->route = releaseRoute(call.endpoint, ownZone_, std::move(candidates), call.request.value);
+  release->call = call;
   release->traceId = traceId;
   tryNextTarget(release);
 }
@@ -100,9 +99,7 @@
 
 void PlatformEngineClient::finishRelease(const std::shared_ptr<PendingRelease>& release, bool succeeded) {
   if (std::exchange(release->isFinished, true)) return;
-  connections().post([this, holder = release->holder, request = release->request, succeeded] {
-    events().onReleaseEnded(holder, request, succeeded);
-  });
+  connections().post([this, call = release->call, succeeded] { events().onReleaseEnded(call, succeeded); });
 }
 
 // Any response shows that the endpoint is alive, whatever its status.
--- a/src/platform/engine/platform_engine_client.h
+++ b/src/platform/engine/platform_engine_client.h
@@ -33,7 +33,7 @@
   /// Sends an attempt; its result is reported later.
   void begin(const routing::AttemptSpec& attempt) override;
   /// Frees the KV cache of a request; the result is reported later.
-  void release(EndpointId endpoint, RequestId request, const std::string& traceId) override;
+  void release(const routing::ReleaseCall& call, const std::string& traceId) override;
   /// Probes an endpoint; the result is reported later.
   void probe(EndpointId endpoint) override;
   /// Whether checkLiveness() may be called.
@@ -48,8 +48,7 @@
     std::size_t nextTarget = 0;  // index into the route
     int outstanding = 0;         // endpoints that were tried and have not responded
     bool isFinished = false;
-    EndpointId holder;
-    RequestId request;
+    routing::ReleaseCall call;
     std::string traceId;
   };
   void tryNextTarget(const std::shared_ptr<PendingRelease>& release);
--- a/src/platform/process/graceful_shutdown.cpp
+++ b/src/platform/process/graceful_shutdown.cpp
@@ -12,12 +12,13 @@
 }  // namespace
 
 GracefulShutdown::GracefulShutdown(timing::Timers& timers, HttpFrontend& frontend,
-                                   const routing::Router& router)
-    : frontend_(frontend), router_(router), alarm_(timers) {}
+                                   const routing::Router& router, Micros repeatLimit)
+    : frontend_(frontend), router_(router), timers_(timers), repeatLimit_(repeatLimit), alarm_(timers) {}
 
 void GracefulShutdown::begin(std::function<void()> onFinished) {
   if (hasBegun()) return;
   state_ = State::accepting;
+  begunAt_ = timers_.now();
   onFinished_ = std::move(onFinished);
   frontend_.drain();
   alarm_.start(kAcceptAfterStop, [this] { stopAccepting(); });
@@ -38,10 +39,15 @@
 bool GracefulShutdown::isDrained() const {
   const bool hasRequests =
       router_.pendingRequests() > 0 || router_.activeRequests() > 0 || frontend_.openRequests() > 0;
-  const bool hasKvReservations =
-      router_.kvReservations().reservationCount() + router_.kvReservations().pendingReleaseCount() > 0;
   const bool hasConnections = frontend_.accepting() || frontend_.connections() > 0;
-  return !hasRequests && !hasKvReservations && !hasConnections;
+  return !hasRequests && !hasConnections && !hasKvReservations();
+}
+
+// State that an engine leaves after this process has ended would be released by nobody.
+bool GracefulShutdown::hasKvReservations() const {
+  const auto& reservations = router_.kvReservations();
+  if (reservations.reservationCount() + reservations.unconfirmedReleaseCount() > 0) return true;
+  return reservations.pendingReleaseCount() > 0 && timers_.now() - begunAt_ < repeatLimit_;
 }
 
 }  // namespace garnethook::platform
--- a/src/platform/process/graceful_shutdown.h
+++ b/src/platform/process/graceful_shutdown.h
@@ -23,7 +23,13 @@
   };
 
   /// The frontend and the router must outlive the shutdown.
-  GracefulShutdown(timing::Timers& timers, HttpFrontend& frontend, const routing::Router& router);
+  /// @param timers runs everything
+  /// @param frontend is drained and closed
+  /// @param router whose requests and KV releases are waited for
+  /// @param repeatLimit repeats of confirmed KV releases are not waited for any longer than this after
+  ///        begin(), in microseconds
+  GracefulShutdown(timing::Timers& timers, HttpFrontend& frontend, const routing::Router& router,
+                   Micros repeatLimit);
 
   /// Begins; calls `onFinished` in the end. A second call does nothing.
   void begin(std::function<void()> onFinished);
@@ -38,9 +44,13 @@
   void stopAccepting();
   void finishWhenDrained();
   bool isDrained() const;
+  bool hasKvReservations() const;
 
   HttpFrontend& frontend_;
   const routing::Router& router_;
+  timing::Timers& timers_;
+  Micros repeatLimit_;
+  Micros begunAt_ = 0;
   timing::Alarm alarm_;
   State state_ = State::serving;
   std::function<void()> onFinished_;
--- a/src/platform/process/router_logger.cpp
+++ b/src/platform/process/router_logger.cpp
@@ -130,14 +130,28 @@
              {{"rule", name(violation)}, {"request", id.value}, {"trace", request.traceId}});
 }
 
-void RouterLogger::onRelease(EndpointId endpoint, RequestId id, std::string_view traceId) {
+void RouterLogger::onRelease(const routing::ReleaseCall& call, std::string_view traceId) {
   if (!log_.debugs()) return;
-  log_.debug("release", {{"request", id.value}, {"trace", traceId}, {"engine", endpointName(endpoint)}});
+  log_.debug("release", {{"request", call.request.value},
+                         {"trace", traceId},
+                         {"engine", endpointName(call.endpoint)},
+                         {"call", call.number}});
 }
 
-void RouterLogger::onReleaseEnded(EndpointId endpoint, RequestId id, bool ok) {
+void RouterLogger::onReleaseEnded(const routing::ReleaseCall& call, bool ok) {
   if (!log_.debugs()) return;
-  log_.debug("release-ended", {{"request", id.value}, {"engine", endpointName(endpoint)}, {"done", ok}});
+  log_.debug("release-ended", {{"request", call.request.value},
+                               {"engine", endpointName(call.endpoint)},
+                               {"call", call.number},
+                               {"done", ok}});
+}
+
+void RouterLogger::onKvReservation(const routing::KvReservationEvent& event) {
+  if (!log_.debugs()) return;
+  log_.debug("kv-reservation", {{"request", event.request.value},
+                                {"engine", endpointName(event.endpoint)},
+                                {"change", name(event.change)},
+                                {"call", event.callNumber}});
 }
 
 void RouterLogger::onActionFailed(const std::string& what) { log_.error("internal", {{"error", what}}); }
--- a/src/platform/process/router_logger.h
+++ b/src/platform/process/router_logger.h
@@ -57,8 +57,9 @@
   void onCancelled(RequestId id) override;
   void onPolicyLog(const std::string& text) override;
   void onViolation(routing::Violation violation, RequestId id, const routing::Request& request) override;
-  void onRelease(EndpointId endpoint, RequestId id, std::string_view traceId) override;
-  void onReleaseEnded(EndpointId endpoint, RequestId id, bool ok) override;
+  void onRelease(const routing::ReleaseCall& call, std::string_view traceId) override;
+  void onReleaseEnded(const routing::ReleaseCall& call, bool ok) override;
+  void onKvReservation(const routing::KvReservationEvent& event) override;
 
   log::Log log_;
   std::vector<std::string> classNames_;
--- a/src/platform/process/router_process.cpp
+++ b/src/platform/process/router_process.cpp
@@ -1,5 +1,6 @@
 #include "platform/process/router_process.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "platform/process/router_options.h"
@@ -11,6 +12,13 @@
 
 constexpr Micros kStatusInterval = 5'000'000;
 
+Micros longestDeadline(const Settings& settings) {
+  Micros longest = 0;
+  for (const RequestClass& requestClass : settings.classes)
+    longest = std::max(longest, requestClass.deadline);
+  return longest;
+}
+
 }  // namespace
 
 RouterProcess::RouterProcess(net::Loop& loop, PlatformConfig config, log::Log log)
@@ -59,7 +67,8 @@
   frontend_ = std::make_unique<HttpFrontend>(loop_, Poco::Net::SocketAddress(config_.listenAddress),
                                              makeFrontendOptions(budget_), config_.deployment, *router_,
                                              std::move(events));
-  shutdown_ = std::make_unique<GracefulShutdown>(loop_, *frontend_, *router_);
+  shutdown_ = std::make_unique<GracefulShutdown>(
+      loop_, *frontend_, *router_, shutdownRepeatLimit(longestDeadline(config_.deployment.settings)));
 }
 
 void RouterProcess::startStatusReports() {
@@ -100,7 +109,7 @@
 }
 
 std::string RouterProcess::statusSummary() const {
-  return summarizeStatus({*router_, *frontend_, engines_, loop_.failedTasks()});
+  return summarizeStatus({*router_, *frontend_, engines_, loop_.failedTasks(), loop_.now()});
 }
 
 }  // namespace garnethook::platform
--- a/src/platform/process/status_summary.cpp
+++ b/src/platform/process/status_summary.cpp
@@ -61,10 +61,14 @@
   for (const auto& [outcome, count] : counters.outcomes) text.item(routing::name(outcome), count);
 }
 
-void addKvReservations(SummaryText& text, const routing::KvReservationTracker& reservations) {
+void addKvReservations(SummaryText& text, const routing::KvReservationTracker& reservations, Micros now) {
   text.section()
       .count("kv reservations", reservations.reservationCount())
-      .count("releases in flight", reservations.pendingReleaseCount())
+      .count("releases in flight", reservations.unconfirmedReleaseCount())
+      .count("oldest ms",
+             static_cast<std::uint64_t>(reservations.oldestUnconfirmedRelease(now) / kMicrosPerMillisecond))
+      .count("repeating", reservations.pendingReleaseCount() - reservations.unconfirmedReleaseCount())
+      .count("repeated", reservations.repeatedCount())
       .count("released", reservations.releasedCount())
       .count("abandoned", reservations.abandonedCount())
       .count("slowest release ms",
@@ -103,7 +107,7 @@
 std::string summarizeStatus(const StatusSources& sources) {
   SummaryText text;
   addRequests(text, sources.router);
-  addKvReservations(text, sources.router.kvReservations());
+  addKvReservations(text, sources.router.kvReservations(), sources.now);
   addClients(text, sources.frontend);
   addEngineConnections(text, sources.engines);
   addCloseReasons(text, sources.frontend);
--- a/src/platform/process/status_summary.h
+++ b/src/platform/process/status_summary.h
@@ -16,6 +16,7 @@
   const HttpFrontend& frontend;         ///< Clients' connections.
   const PlatformEngineClient& engines;  ///< Connections to engines.
   std::uint64_t failedTasks = 0;        ///< Tasks of the loop that threw.
+  Micros now = 0;                       ///< The current time on the monotonic clock.
 };
 
 /// The counters since the start. docs/platform.md explains the words.
--- a/src/platform/process/timeouts.h
+++ b/src/platform/process/timeouts.h
@@ -14,6 +14,14 @@
 /// know of it yet.
 inline constexpr Micros kAcceptAfterStop = 600'000;
 
+/// For how long a shutdown waits for repeats of confirmed KV releases. The platform kills a process that was
+/// told to stop after the longest deadline, or 3 s where that is longer, and 0.7 s.
+inline Micros shutdownRepeatLimit(Micros longestDeadline) {
+  constexpr Micros kMaxDeadline = 3'000'000;
+  constexpr Micros kBeforeKill = 600'000;
+  return std::min(longestDeadline, kMaxDeadline) + kBeforeKill;
+}
+
 /// Longest time between two events of a response. Clients are known to wait up to five seconds.
 inline constexpr Micros kStreamSilenceTimeout = 4'500'000;
 
--- a/src/routing/active_request.h
+++ b/src/routing/active_request.h
@@ -20,6 +20,8 @@
   EndpointId endpoint;                ///< Where it was sent.
   Phase phase = Phase::combined;      ///< What it does.
   Micros sentAt = 0;                  ///< When it was sent.
+  Micros usefulUntil = 0;             ///< Until when the engine was told that its result is of use.
+  bool mayNotHaveArrived = false;     ///< What it does not wait for is released beside it.
   bool hasStarted = false;            ///< The answer has begun.
   bool isConfirmedAlive = false;      ///< Its engine answered on another connection since.
   Micros firstTokenAt = 0;            ///< When the answer began.
--- a/src/routing/attempt_runner.cpp
+++ b/src/routing/attempt_runner.cpp
@@ -6,6 +6,21 @@
 #include "routing/completion_builder.h"
 
 namespace garnethook::routing {
+namespace {
+
+// Whether the engine may still work on an attempt that has ended here: its response was lost or can't be
+// used. A decode that was answered waits for no state any more.
+bool mayGoOnAtEngine(const InFlightAttempt& attempt, const AttemptResult& result) {
+  if (attempt.hasStarted || result.badRequest || provesNotExecuted(result.outcome)) return false;
+  switch (result.outcome) {
+    case Outcome::prefillDone:
+    case Outcome::completed: return false;
+    case Outcome::error: return attempt.phase == Phase::prefill;
+    default: return true;
+  }
+}
+
+}  // namespace
 
 void AttemptRunner::start(ActiveRequest& active, const Send& send) {
   InFlightAttempt attempt{.number = active.attemptCount++,
@@ -20,6 +35,7 @@
   if (attempt.phase == Phase::prefill)
     parts_.reservations.onPrefillSent(active, attempt.endpoint, attempt.sentAt);
   const AttemptSpec spec = specOf(active, send.timeout, releaseDueAt.has_value());
+  active.attempt->usefulUntil = attempt.sentAt + spec.timeout;
   context_.observer.onAttempt(spec);
   context_.engines.begin(spec);
 }
@@ -103,9 +119,11 @@
 void AttemptRunner::end(ActiveRequest& active, Outcome outcome, bool requestEnded) {
   const AttemptId id{active.id, active.attempt->number};
   const bool hasReached = hasReachedEndpoint(id, *active.attempt);
+  const bool mayHaveReached = context_.engines.deliveryState(id) != DeliveryState::undelivered;
   context_.engines.cancel(id);
   const InFlightAttempt attempt = takeAttempt(active);
   if (hasReached) parts_.reservations.tracker().onAttemptEnded(id.request, context_.timers.now());
+  if (mayHaveReached && !attempt.hasStarted) parts_.reservations.onAttemptAbandoned(id.request, attempt);
   ++context_.counters.outcomes[outcome];
   const bool isPossiblyExecuted =
       !provesNotExecuted(outcome) || (outcome == kNeutralOutcome && attempt.hasStarted);
@@ -130,6 +148,7 @@
   const bool hasReached =
       result.leftRouter && result.outcome != Outcome::connectFailed && !result.reusedConnection;
   if (hasReached) parts_.reservations.tracker().onAttemptEnded(id.request, context_.timers.now());
+  if (mayGoOnAtEngine(attempt, result)) parts_.reservations.onAttemptAbandoned(id.request, attempt);
   ++context_.counters.outcomes[result.outcome];
   context_.observer.onAttemptEnded(id, attempt.endpoint, result);
   if (!result.text.empty()) active->lastError = result.text;
@@ -175,7 +194,7 @@
 void AttemptRunner::applyCompleted(ActiveRequest& active, const InFlightAttempt& attempt,
                                    const AttemptResult& result) {
   if (attempt.phase == Phase::decode && active.kvEndpoint) {  // an answer without a single token
-    parts_.reservations.tracker().onTransferred(active.id, *active.kvEndpoint);
+    parts_.reservations.tracker().onTransferred(active.id, *active.kvEndpoint, context_.timers.now());
     active.kvEndpoint.reset();
   }
   active.usage.outputTokens = std::max(result.outputTokens, active.nextTokenIndex);
--- a/src/routing/endpoint_directory.cpp
+++ b/src/routing/endpoint_directory.cpp
@@ -2,11 +2,11 @@
 
 namespace garnethook::routing {
 
-std::vector<EndpointId> EndpointDirectory::apply(const EndpointUpdate& update) {
+std::vector<EndpointRestart> EndpointDirectory::apply(const EndpointUpdate& update) {
   const bool isWhole =
       update.kind == EndpointUpdate::Kind::snapshot || update.kind == EndpointUpdate::Kind::staleCopy;
   if (isWhole) running_.clear();
-  std::vector<EndpointId> restarted;
+  std::vector<EndpointRestart> restarted;
   for (const EndpointEntry& entry : update.entries) {
     Endpoint& endpoint = endpoints_[entry.id.value];
     endpoint.location = {entry.zone, entry.cell};
@@ -16,7 +16,8 @@
     else
       running_.erase(entry.id.value);
     if (entry.startedAt == 0) continue;
-    if (endpoint.startedAt != 0 && endpoint.startedAt != entry.startedAt) restarted.push_back(entry.id);
+    if (endpoint.startedAt != 0 && endpoint.startedAt != entry.startedAt)
+      restarted.push_back({entry.id, entry.startedAt});
     endpoint.startedAt = entry.startedAt;
   }
   return restarted;
--- a/src/routing/endpoint_directory.h
+++ b/src/routing/endpoint_directory.h
@@ -11,6 +11,12 @@
 
 namespace garnethook::routing {
 
+/// An endpoint that was restarted.
+struct EndpointRestart {
+  EndpointId endpoint;   ///< Which one.
+  Micros startedAt = 0;  ///< When, on the monotonic clock.
+};
+
 /// Role, location and start of every endpoint that was ever listed, and which of them are running.
 class EndpointDirectory {
  public:
@@ -18,7 +24,7 @@
   explicit EndpointDirectory(std::vector<EndpointKind> kinds) : kinds_(std::move(kinds)) {}
 
   /// Takes over an update. Returns the endpoints that were restarted.
-  std::vector<EndpointId> apply(const EndpointUpdate& update);
+  std::vector<EndpointRestart> apply(const EndpointUpdate& update);
   /// What an attempt does there. `hasKvState`: the request's prompt was read, and its state can be fetched.
   Phase phaseAt(EndpointId endpoint, bool hasKvState) const;
   /// Where an endpoint stands; none where it was never listed.
--- a/src/routing/engine_client.h
+++ b/src/routing/engine_client.h
@@ -10,6 +10,7 @@
 
 #include "policy/routing_policy.h"
 #include "routing/completion.h"
+#include "routing/release_call.h"
 #include "routing/request.h"
 
 namespace garnethook::routing {
@@ -77,8 +78,8 @@
   virtual void onAttemptEnded(AttemptId attempt, const AttemptResult& result) = 0;
   /// Answers EngineClient::probe.
   virtual void onProbeEnded(EndpointId endpoint, bool ok, const std::optional<LoadReport>& report) = 0;
-  /// Answers EngineClient::release. `ok`: the reservation is gone.
-  virtual void onReleaseEnded(EndpointId endpoint, RequestId request, bool ok) = 0;
+  /// Answers EngineClient::release. `ok`: an endpoint has taken the call.
+  virtual void onReleaseEnded(const ReleaseCall& call, bool ok) = 0;
   /// Answers EngineClient::checkLiveness.
   virtual void onLivenessChecked(AttemptId /*attempt*/, bool /*alive*/) {}
 };
@@ -104,7 +105,12 @@
   virtual DeliveryState deliveryState(AttemptId attempt) const = 0;
   /// Asks a prefill engine to release what it reserves for the request. Succeeds at once where engines have
   /// no such call.
-  virtual void release(EndpointId endpoint, RequestId request, const std::string& traceId) = 0;
+  virtual void release(const ReleaseCall& call, const std::string& traceId) = 0;
+  /// Whether engines have a call that releases reservations.
+  virtual bool canRelease() const { return true; }
+  /// When anything came from the endpoint last, on the monotonic clock; 0: nothing yet. None where that is
+  /// not known.
+  virtual std::optional<Micros> lastHeardAt(EndpointId /*endpoint*/) const { return std::nullopt; }
   /// Asks an endpoint for its health and load.
   virtual void probe(EndpointId endpoint) = 0;
   /// Whether checkLiveness() is possible.
--- a/src/routing/observer.h
+++ b/src/routing/observer.h
@@ -7,6 +7,7 @@
 
 #include "routing/completion.h"
 #include "routing/engine_client.h"
+#include "routing/kv_reservation_event.h"
 #include "routing/rule_guard.h"
 
 namespace garnethook::routing {
@@ -32,9 +33,11 @@
   /// A rule would have been broken, or was: see RuleGuard.
   virtual void onViolation(Violation, RequestId, const Request&) {}
   /// An endpoint is asked to release what it reserves for a request.
-  virtual void onRelease(EndpointId, RequestId, std::string_view /*traceId*/) {}
+  virtual void onRelease(const ReleaseCall&, std::string_view /*traceId*/) {}
   /// How such a release ended.
-  virtual void onReleaseEnded(EndpointId, RequestId, bool /*ok*/) {}
+  virtual void onReleaseEnded(const ReleaseCall&, bool /*ok*/) {}
+  /// What is known of a KV reservation has changed.
+  virtual void onKvReservation(const KvReservationEvent&) {}
   /// Every event given to the policy and the actions it answered with, for recordings.
   virtual void onDecision(Micros, const Event&, const std::vector<Action>&) {}
 };
--- a/src/routing/request_table.cpp
+++ b/src/routing/request_table.cpp
@@ -23,6 +23,11 @@
   return found == requests_.end() ? nullptr : &found->second;
 }
 
+const ActiveRequest* RequestTable::find(RequestId id) const {
+  const auto found = requests_.find(id.value);
+  return found == requests_.end() ? nullptr : &found->second;
+}
+
 ActiveRequest* RequestTable::findInFlight(AttemptId attempt) {
   ActiveRequest* active = find(attempt.request);
   return active != nullptr && active->isInFlight(attempt.number) ? active : nullptr;
--- a/src/routing/request_table.h
+++ b/src/routing/request_table.h
@@ -20,6 +20,8 @@
   ActiveRequest& add(Request request, Client& client, Micros now, const std::string& instance);
   /// The request; null where it is not active.
   ActiveRequest* find(RequestId id);
+  /// The request; null where it is not active.
+  const ActiveRequest* find(RequestId id) const;
   /// The request, where this attempt of it is in flight; else null.
   ActiveRequest* findInFlight(AttemptId attempt);
   /// The request, where this attempt is in flight and its answer has not begun; else null.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -134,9 +134,7 @@
   events_.enqueue(ProbeEnded{endpoint, ok, report});
 }
 
-void Router::onReleaseEnded(EndpointId endpoint, RequestId request, bool ok) {
-  reservations_.onReleaseEnded(endpoint, request, ok);
-}
+void Router::onReleaseEnded(const ReleaseCall& call, bool ok) { reservations_.onReleaseEnded(call, ok); }
 
 void Router::onLivenessChecked(AttemptId attempt, bool alive) { attempts_.onLivenessChecked(attempt, alive); }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -68,7 +68,7 @@
                 std::span<const std::uint32_t> ids) override;
   void onAttemptEnded(AttemptId attempt, const AttemptResult& result) override;
   void onProbeEnded(EndpointId endpoint, bool ok, const std::optional<LoadReport>& report) override;
-  void onReleaseEnded(EndpointId endpoint, RequestId request, bool ok) override;
+  void onReleaseEnded(const ReleaseCall& call, bool ok) override;
   void onLivenessChecked(AttemptId attempt, bool alive) override;
 
   /// What was counted so far.
--- a/src/routing/token_relay.cpp
+++ b/src/routing/token_relay.cpp
@@ -39,7 +39,7 @@
   attempt.firstTokenAt = attempt.lastTokenAt;
   context_.timers.cancel(attempt.timeoutTimer);
   if (attempt.phase == Phase::decode && active.kvEndpoint) {
-    parts_.reservations.tracker().onTransferred(id.request, *active.kvEndpoint);
+    parts_.reservations.tracker().onTransferred(id.request, *active.kvEndpoint, attempt.lastTokenAt);
     active.kvEndpoint.reset();
   }
   parts_.rules.recordPossibleExecution(active, attempt);
--- a/tests/fuzz/codecs.cpp
+++ b/tests/fuzz/codecs.cpp
@@ -142,7 +142,7 @@
     trace += "|" + std::to_string(static_cast<int>(r.outcome));
   }
   void onProbeEnded(EndpointId, bool, const std::optional<LoadReport>&) override {}
-  void onReleaseEnded(EndpointId, RequestId, bool) override {}
+  void onReleaseEnded(const routing::ReleaseCall&, bool) override {}
   std::string trace;
   int ends = 0;
 };
--- a/tests/path/platform_world.h
+++ b/tests/path/platform_world.h
@@ -58,14 +58,18 @@
   std::unique_ptr<RawClient> client() { return std::make_unique<RawClient>(loop, node->address()); }
   // No request, no attempt, nothing held.
   bool clean() {
-    return until(
+    const auto& reservations = node->router().kvReservations();
+    const bool isIdle = until(
         [&] {
           const auto& r = node->router();
           return r.pendingRequests() == 0 && r.activeRequests() == 0 &&
-                 r.kvReservations().reservationCount() + r.kvReservations().pendingReleaseCount() == 0 &&
+                 reservations.reservationCount() + reservations.unconfirmedReleaseCount() == 0 &&
                  node->frontend().openRequests() == 0;
         },
         2'000'000);
+    // Confirmed releases are repeated while an attempt that was given up may go on at its engine.
+    return isIdle && until([&] { return reservations.pendingReleaseCount() == 0; },
+                           routing::KvReservationTracker::kMaxAbandonedWork);
   }
 
   std::string firstList;
--- a/tests/path/world.h
+++ b/tests/path/world.h
@@ -116,10 +116,13 @@
         [&] {
           return fleet.held() == 0 && router->router().activeRequests() == 0 &&
                  router->router().kvReservations().reservationCount() == 0 &&
-                 router->router().kvReservations().pendingReleaseCount() == 0 &&
+                 router->router().kvReservations().unconfirmedReleaseCount() == 0 &&
                  router->engines().attempts() == 0;
         },
         3'000'000));
+    // Confirmed releases are repeated while an attempt that was given up may go on at its engine.
+    EXPECT_TRUE(until([&] { return router->router().kvReservations().pendingReleaseCount() == 0; },
+                      routing::KvReservationTracker::kMaxAbandonedWork));
     EXPECT_EQ(fleet.held(), 0u);
     EXPECT_EQ(router->router().activeRequests(), 0u);
   }
--- a/tests/platform/process/graceful_shutdown_test.cpp
+++ b/tests/platform/process/graceful_shutdown_test.cpp
@@ -11,9 +11,11 @@
 
 using State = platform::GracefulShutdown::State;
 
+constexpr Micros kRepeatLimit = 3'600'000;
+
 TEST(GracefulShutdown, PassesThroughItsStatesAndReportsItsEndOnce) {
   FrontendWorld world;
-  platform::GracefulShutdown shutdown(world.loop, *world.front, *world.router);
+  platform::GracefulShutdown shutdown(world.loop, *world.front, *world.router, kRepeatLimit);
   EXPECT_EQ(shutdown.state(), State::serving);
   EXPECT_FALSE(shutdown.hasBegun());
   int finished = 0;
@@ -34,7 +36,7 @@
   const auto client = world.acceptedClient(true);
   client->send(clientRequest("open"));
   ASSERT_TRUE(world.until([&] { return attempt.has_value(); }, 1'000'000));
-  platform::GracefulShutdown shutdown(world.loop, *world.front, *world.router);
+  platform::GracefulShutdown shutdown(world.loop, *world.front, *world.router, kRepeatLimit);
   bool isFinished = false;
   shutdown.begin([&] { isFinished = true; });
   EXPECT_FALSE(world.until([&] { return isFinished; }, platform::kAcceptAfterStop + 200'000));
--- a/tests/platform/process/router_logger_test.cpp
+++ b/tests/platform/process/router_logger_test.cpp
@@ -148,18 +148,21 @@
 
 TEST_F(RouterLoggerTest, LogsCancellationsReleasesViolationsAndFailures) {
   observer_->onCancelled({7});
-  observer_->onRelease({51}, {7}, "trace");
-  observer_->onReleaseEnded({51}, {7}, true);
+  observer_->onRelease({{51}, {7}, 3}, "trace");
+  observer_->onReleaseEnded({{51}, {7}, 3}, true);
+  observer_->onKvReservation({routing::KvReservationChange::releaseRepeated, {7}, {51}, 3});
   observer_->onViolation(routing::Violation::concurrentAttempt, {7}, request_);
   observer_->onActionFailed("what");
   const auto all = lines();
-  ASSERT_EQ(all.size(), 5u);
+  ASSERT_EQ(all.size(), 6u);
   EXPECT_EQ(all[0].dump(), R"({"event":"client-cancelled","request":7})");
-  EXPECT_EQ(all[1].dump(), R"({"event":"release","request":7,"trace":"trace","engine":"51"})");
-  EXPECT_EQ(all[2].dump(), R"({"event":"release-ended","request":7,"engine":"51","done":true})");
+  EXPECT_EQ(all[1].dump(), R"({"event":"release","request":7,"trace":"trace","engine":"51","call":3})");
+  EXPECT_EQ(all[2].dump(), R"({"event":"release-ended","request":7,"engine":"51","call":3,"done":true})");
   EXPECT_EQ(all[3].dump(),
+            R"({"event":"kv-reservation","request":7,"engine":"51","change":"release-repeated","call":3})");
+  EXPECT_EQ(all[4].dump(),
             R"({"event":"rule-violation","rule":"concurrent-attempt","request":7,"trace":"trace"})");
-  EXPECT_EQ(all[4].dump(), R"({"event":"internal","error":"what"})");
+  EXPECT_EQ(all[5].dump(), R"({"event":"internal","error":"what"})");
 }
 
 // The routing policy knows endpoints by numbers; lines have their names.
--- a/tests/platform/relay_exchange_test.cpp
+++ b/tests/platform/relay_exchange_test.cpp
@@ -26,7 +26,7 @@
     result = attemptResult;
   }
   void onProbeEnded(EndpointId, bool, const std::optional<LoadReport>&) override {}
-  void onReleaseEnded(EndpointId, RequestId, bool) override {}
+  void onReleaseEnded(const routing::ReleaseCall&, bool) override {}
   std::string events;
   std::uint32_t eventCount = 0;
   int calls = 0;
--- a/tests/routing/kv_reservation_tracker_test.cpp
+++ b/tests/routing/kv_reservation_tracker_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <vector>
+
 namespace garnethook::routing {
 namespace {
 
@@ -18,12 +21,14 @@
   tracker.onReleaseEnded(calls[0], true, 1010);
   tracker.onReleaseEnded(calls[1], false, 1010);
   EXPECT_TRUE(tracker.dueRetries(1100).empty());
-  EXPECT_EQ(tracker.dueRetries(1110).size(), 1u);
+  auto retries = tracker.dueRetries(1110);
+  ASSERT_EQ(retries.size(), 1u);
   EXPECT_TRUE(tracker.dueRetries(1110).empty());  // a call is in flight
-  tracker.onReleaseEnded(calls[1], false, 1200);
+  tracker.onReleaseEnded(retries[0], false, 1200);
   EXPECT_TRUE(tracker.dueRetries(1300).empty());  // the delay grows
-  EXPECT_EQ(tracker.dueRetries(1400).size(), 1u);
-  tracker.onReleaseEnded(calls[1], false, 1500);
+  retries = tracker.dueRetries(1400);
+  ASSERT_EQ(retries.size(), 1u);
+  tracker.onReleaseEnded(retries[0], false, 1500);
   EXPECT_EQ(tracker.abandonedCount(), 1u);
   EXPECT_EQ(tracker.pendingReleaseCount(), 0u);
   EXPECT_EQ(tracker.releasedCount(), 1u);
@@ -35,12 +40,12 @@
 TEST(KvReservationTracker, RetriesThroughAnOutageOfSecondsAtShortIntervals) {
   KvReservationTracker tracker({});
   tracker.onPrefillSent({1}, {7}, 0);
-  const auto call = tracker.release({1}, 0)[0];
+  auto calls = tracker.release({1}, 0);
   Micros now = 0;
   Micros lastRetryAt = 0;
   for (int attempts = 1; attempts < 40; ++attempts) {
-    tracker.onReleaseEnded(call, false, now);
-    while (tracker.dueRetries(now).empty()) ASSERT_LT(now += 1000, lastRetryAt + 260'000);
+    tracker.onReleaseEnded(calls[0], false, now);
+    while ((calls = tracker.dueRetries(now)).empty()) ASSERT_LT(now += 1000, lastRetryAt + 260'000);
     lastRetryAt = now;
   }
   EXPECT_GT(now, 8'000'000);
@@ -50,9 +55,9 @@
 TEST(KvReservationTracker, ReleasesNothingThatWasTransferredLostOrNeverReserved) {
   KvReservationTracker tracker({});
   for (const std::uint64_t endpoint : {1, 2, 3}) tracker.onPrefillSent({1}, {endpoint}, 0);
-  tracker.onTransferred({1}, {1});
+  tracker.onTransferred({1}, {1}, 0);
   tracker.onNoReservation({1}, {2});
-  tracker.onEndpointRestarted({3});
+  tracker.onEndpointRestarted({3}, 1);
   EXPECT_TRUE(tracker.release({1}, 0).empty());
 }
 
@@ -62,9 +67,10 @@
   for (const bool ok : {true, false}) {
     KvReservationTracker tracker({});
     tracker.onPrefillSent({1}, {7}, 0);
-    ASSERT_EQ(tracker.release({1}, 100).size(), 1u);
+    const auto calls = tracker.release({1}, 100);
+    ASSERT_EQ(calls.size(), 1u);
     tracker.onPrefillSent({1}, {7}, 200);
-    tracker.onReleaseEnded({{7}, {1}}, ok, 300);
+    tracker.onReleaseEnded(calls[0], ok, 300);
     EXPECT_EQ(tracker.reservationCount(), 1u);
     EXPECT_EQ(tracker.pendingReleaseCount(), 0u);
     EXPECT_EQ(tracker.release({1}, 400).size(), 1u);
@@ -89,12 +95,13 @@
   EXPECT_TRUE(tracker.releaseUnconfirmed({1}, 510).empty());  // a call is in flight
   EXPECT_EQ(tracker.reservationCount(), 2u);
   tracker.onReleaseEnded(calls[0], false, 600);
-  EXPECT_EQ(tracker.dueRetries(700).size(), 1u);
-  tracker.onReleaseEnded(calls[0], true, 710);
+  const auto retries = tracker.dueRetries(700);
+  ASSERT_EQ(retries.size(), 1u);
+  tracker.onReleaseEnded(retries[0], true, 710);
   EXPECT_EQ(tracker.release({1}, 720).size(), 1u);  // again at the end
 
   tracker.releaseUnconfirmed({2}, 800);
-  tracker.onTransferred({2}, {7});
+  tracker.onTransferred({2}, {7}, 900);
   EXPECT_FALSE(tracker.isTracking({2}));
 }
 
@@ -138,11 +145,146 @@
   EXPECT_EQ(tracker.releaseDueAt({1}), 1950);
   tracker.onPrefillSent({1}, {8}, 1700);  // again at the same endpoint, which rejects it
   tracker.onNoReservation({1}, {8});
-  tracker.onTransferred({1}, {7});
+  tracker.onTransferred({1}, {7}, 1800);
   EXPECT_EQ(tracker.releaseDueAt({1}), 1950);  // the first prefill there may have left state
   tracker.onNoReservation({1}, {8});
   EXPECT_FALSE(tracker.releaseDueAt({1}));
 }
 
+// Seen in staging: a prefill was given up, its release was confirmed, and the engine finished the prefill and
+// kept its state. Plays an engine that confirms every call at once.
+struct RepeatedReleaseTest : testing::Test {
+  // The times of the calls from now on, until none is pending.
+  std::vector<Micros> callTimes(std::vector<ReleaseCall> calls,
+                                std::optional<Micros> heardAt = std::nullopt) {
+    std::vector<Micros> times;
+    while (tracker.pendingReleaseCount() > 0 && now < 60'000'000) {
+      for (const ReleaseCall& call : calls) {
+        times.push_back(now);
+        tracker.onReleaseEnded(call, true, now, heardAt);
+      }
+      now += 10'000;
+      calls = tracker.dueRetries(now);
+    }
+    return times;
+  }
+  void expectNoPauseBeyond(const std::vector<Micros>& times, Micros longest) {
+    for (std::size_t i = 1; i < times.size(); ++i) EXPECT_LE(times[i] - times[i - 1], longest);
+  }
+  KvReservationTracker tracker{{}};
+  Micros now = 1'000'000;
+};
+
+TEST_F(RepeatedReleaseTest, GoesOnWhileAnAbandonedPrefillMayLeaveState) {
+  tracker.onPrefillSent({1}, {7}, now);
+  tracker.onPrefillAbandoned({1}, {7}, {.at = now, .usefulFor = 2'000'000});
+  const Micros abandonedAt = now;
+  const auto times = callTimes(tracker.release({1}, now));
+  expectNoPauseBeyond(times, 300'000);  // state that appears in between is released within the timeout
+  EXPECT_GE(times.back(), abandonedAt + 2'000'000 + KvReservationTracker::kAbandonedWorkMargin);
+  EXPECT_LE(times.back(), abandonedAt + 2'600'000);
+  EXPECT_LE(times.size(), 14u);
+  EXPECT_EQ(tracker.releasedCount(), 1u);
+  EXPECT_EQ(tracker.repeatedCount(), times.size() - 1);
+}
+
+TEST_F(RepeatedReleaseTest, OutlastsWorkThatWasNearlyOutOfTime) {
+  tracker.onPrefillSent({1}, {7}, now);
+  tracker.onPrefillAbandoned({1}, {7}, {.at = now, .usefulFor = 0});
+  const Micros abandonedAt = now;
+  EXPECT_GE(callTimes(tracker.release({1}, now)).back(),
+            abandonedAt + KvReservationTracker::kMinAbandonedWork);
+}
+
+// Bytes that a partition has held back arrive when it is over, and the engine begins then.
+TEST_F(RepeatedReleaseTest, GoesOnLongerWhereTheEndpointHasBeenSilentSince) {
+  tracker.onPrefillSent({1}, {7}, now);
+  tracker.onPrefillAbandoned({1}, {7}, {.at = now, .usefulFor = 1'000'000});
+  const Micros abandonedAt = now;
+  const auto times = callTimes(tracker.release({1}, now), abandonedAt - 1);
+  EXPECT_GE(times.back(), abandonedAt + KvReservationTracker::kMaxAbandonedWork);
+  EXPECT_LE(times.back(), abandonedAt + KvReservationTracker::kMaxAbandonedWork + 600'000);
+}
+
+// The close of a decode and the release leave in one instant on two connections: a release that is answered
+// first spares the state.
+TEST_F(RepeatedReleaseTest, GoesOnWhileAnAbandonedDecodeMayWaitForTheState) {
+  tracker.onPrefillSent({1}, {7}, now);
+  tracker.onDecodeAbandoned({1}, {.at = now, .usefulFor = 0});
+  const Micros abandonedAt = now;
+  const auto times = callTimes(tracker.release({1}, now));
+  EXPECT_GE(times.size(), 4u);
+  EXPECT_GE(times.back(), abandonedAt + KvReservationTracker::kMinAbandonedWork);
+}
+
+TEST_F(RepeatedReleaseTest, IsNotNeededWhereNothingWasAbandoned) {
+  tracker.onPrefillSent({1}, {7}, now);
+  EXPECT_EQ(callTimes(tracker.release({1}, now)).size(), 1u);
+}
+
+// It would take the state that the request waits for by now.
+TEST_F(RepeatedReleaseTest, WaitsWhileItsRequestWaitsForANewState) {
+  tracker.onPrefillSent({1}, {7}, now);
+  tracker.onPrefillAbandoned({1}, {7}, {.at = now, .usefulFor = 0});
+  const auto calls = tracker.release({1}, now);
+  tracker.onReleaseEnded(calls[0], true, now);
+  EXPECT_TRUE(tracker.dueRetries(now + 5'000'000, [](RequestId) { return false; }).empty());
+  EXPECT_EQ(tracker.dueRetries(now + 5'000'000, [](RequestId) { return true; }).size(), 1u);
+}
+
+// A late answer to a call that spared the state must not count for the call that is to release it.
+TEST(KvReservationTracker, IgnoresAnswersToEarlierCallsOfTheSameRelease) {
+  KvReservationTracker tracker({.releaseSparesAwaited = true});
+  tracker.onPrefillSent({1}, {7}, 0);
+  const auto sparing = tracker.releaseUnconfirmed({1}, 500'000);
+  const auto last = tracker.release({1}, 600'000);
+  ASSERT_EQ(sparing.size(), 1u);
+  ASSERT_EQ(last.size(), 1u);
+  tracker.onReleaseEnded(sparing[0], true, 610'000);
+  EXPECT_EQ(tracker.unconfirmedReleaseCount(), 1u);
+  tracker.onReleaseEnded(last[0], false, 620'000);
+  EXPECT_EQ(tracker.dueRetries(900'000).size(), 1u);
+}
+
+// An earlier prefill's release was not confirmed when the next prefill at that endpoint was rejected.
+TEST(KvReservationTracker, KeepsWhatAnEarlierPrefillLeftThoughTheNextOneIsRejected) {
+  KvReservationTracker tracker({});
+  tracker.onPrefillSent({1}, {7}, 0);
+  ASSERT_EQ(tracker.release({1}, 100).size(), 1u);
+  tracker.onPrefillSent({1}, {7}, 200);
+  tracker.onNoReservation({1}, {7});
+  EXPECT_EQ(tracker.release({1}, 300).size(), 1u);
+}
+
+// The transfer frees the state of one prefill; one that was given up there may leave another.
+TEST(KvReservationTracker, KeepsTrackingAnAbandonedPrefillThroughATransfer) {
+  KvReservationTracker tracker({});
+  tracker.onPrefillSent({1}, {7}, 0);
+  tracker.onPrefillAbandoned({1}, {7}, {.at = 100, .usefulFor = 0});
+  tracker.onPrefillSent({1}, {7}, 200);
+  tracker.onTransferred({1}, {7}, 300);
+  EXPECT_EQ(tracker.release({1}, 400).size(), 1u);
+}
+
+// A list that dates an endpoint's start anew must not cost the reservation that its process still holds.
+TEST(KvReservationTracker, ForgetsOnlyReservationsThatAreOlderThanARestart) {
+  KvReservationTracker tracker({});
+  tracker.onPrefillSent({1}, {7}, 1000);
+  tracker.onPrefillSent({2}, {7}, 3000);
+  tracker.onEndpointRestarted({7}, 2000);
+  EXPECT_TRUE(tracker.release({1}, 4000).empty());
+  EXPECT_EQ(tracker.release({2}, 4000).size(), 1u);
+}
+
+// An answer that is lost in this process keeps no release in flight for ever.
+TEST(KvReservationTracker, CallsAgainWhereACallIsNeverAnswered) {
+  KvReservationTracker tracker({});
+  tracker.onPrefillSent({1}, {7}, 0);
+  ASSERT_EQ(tracker.release({1}, 0).size(), 1u);
+  EXPECT_TRUE(tracker.dueRetries(1'900'000).empty());
+  EXPECT_TRUE(tracker.dueRetries(2'100'000).empty());  // it counts as failed now
+  EXPECT_EQ(tracker.dueRetries(2'400'000).size(), 1u);
+}
+
 }  // namespace
 }  // namespace garnethook::routing
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -42,8 +42,10 @@
   }
   void cancel(AttemptId attempt) override { cancelled.push_back(attempt); }
   DeliveryState deliveryState(AttemptId) const override { return delivery; }
-  void release(EndpointId endpoint, RequestId request, const std::string&) override {
-    released.emplace_back(endpoint, request);
+  void release(const ReleaseCall& call, const std::string&) override {
+    if (std::exchange(failsNextRelease, false)) throw std::runtime_error("no descriptor");
+    releaseCalls.push_back(call);
+    released.emplace_back(call.endpoint, call.request);
   }
   void probe(EndpointId) override {}
   bool canCheckLiveness() const override { return checksLiveness; }
@@ -59,10 +61,12 @@
   DeliveryState delivery = DeliveryState::confirmed;
   bool checksLiveness = true;
   bool failsNextAttempt = false;
+  bool failsNextRelease = false;
   std::vector<AttemptId> livenessChecks;
   std::vector<BegunAttempt> begun;
   std::vector<AttemptId> cancelled;
   std::vector<std::pair<EndpointId, RequestId>> released;
+  std::vector<ReleaseCall> releaseCalls;  // the same, with their numbers
 };
 
 struct RecordingClient final : Client {
@@ -229,11 +233,13 @@
   finishPrefill();
   router.cancel(id);
   ASSERT_EQ(engines.released.size(), 1u);
-  router.onReleaseEnded(engines.released[0].first, id, false);
+  router.onReleaseEnded(engines.releaseCalls[0], false);
   timers.advance(150'000);
   ASSERT_EQ(engines.released.size(), 2u);
-  router.onReleaseEnded(engines.released[1].first, id, true);
-  EXPECT_EQ(router.kvReservations().pendingReleaseCount(), 0u);
+  router.onReleaseEnded(engines.releaseCalls[1], true);
+  EXPECT_EQ(router.kvReservations().unconfirmedReleaseCount(), 0u);
+  EXPECT_EQ(router.kvReservations().releasedCount(),
+            0u);  // the decode in flight may still wait for the state
 }
 
 // Three connections that failed one after another kept a state for longer than rule 5 allows, because each
@@ -281,13 +287,12 @@
   timers.advance(30'000);
   ASSERT_FALSE(engines.released.empty());
   ASSERT_EQ(engines.begun.back().phase, Phase::combined);
-  const auto [endpoint, requestId] = engines.released.front();
   const std::size_t calls = engines.released.size();
-  combinedRouter.onReleaseEnded(endpoint, requestId, false);
+  combinedRouter.onReleaseEnded(engines.releaseCalls.front(), false);
   timers.advance(200'000);
-  EXPECT_GT(engines.released.size(), calls);  // again, while the combined attempt is in flight
+  ASSERT_GT(engines.released.size(), calls);  // again, while the combined attempt is in flight
   EXPECT_FALSE(client.completion);
-  combinedRouter.onReleaseEnded(endpoint, requestId, true);
+  combinedRouter.onReleaseEnded(engines.releaseCalls.back(), true);
   EXPECT_EQ(combinedRouter.kvReservations().reservationCount() +
                 combinedRouter.kvReservations().pendingReleaseCount(),
             0u);
@@ -467,6 +472,50 @@
   EXPECT_TRUE(engines.released.empty());
 }
 
+// Between two attempts a request may wait for capacity; what its given-up prefill may have left has its time.
+TEST_F(RouterTest, ReleasesWhatAnAbandonedPrefillMayHaveLeftWhileTheRequestWaits) {
+  RecordingClient client;
+  accept(client);
+  timers.advance(10'000);
+  const Micros lostAt = timers.time;
+  router.onEndpointUpdate(
+      {EndpointUpdate::Kind::delta, {{.id = {1}, .kind = 0, .state = EndpointState::draining}}});
+  router.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::connectionReset});
+  while (engines.released.empty() && timers.time < lostAt + 700'000) timers.advance(1'000);
+  EXPECT_LE(timers.time - lostAt, 510'000);
+  EXPECT_EQ(engines.released.size(), 1u);
+}
+
+// A repeated release frees all that is held for a request: not while a newer prefill's state is awaited.
+TEST_F(UnconfirmedDecodeTest, RepeatsNoReleaseWhileANewerStateIsAwaited) {
+  sparingRouter.onEndpointUpdate({EndpointUpdate::Kind::delta, {{.id = {4}, .zone = 0, .kind = 0}}});
+  engines.released.clear();
+  RecordingClient other;
+  const auto id = sparingRouter.accept(request(), other);
+  sparingRouter.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::connectionReset});
+  ASSERT_EQ(engines.begun.back().phase, Phase::prefill);
+  timers.advance(400'000);
+  EXPECT_TRUE(engines.released.empty());
+  sparingRouter.onAttemptEnded(engines.begun.back().attempt, {.outcome = Outcome::prefillDone});
+  ASSERT_EQ(engines.begun.back().phase, Phase::decode);
+  timers.advance(400'000);
+  EXPECT_TRUE(engines.released.empty());
+  sparingRouter.cancel(id);
+  EXPECT_EQ(engines.released.size(), 2u);
+}
+
+// A call that can't be made must not cost the others, nor stay in flight for ever.
+TEST_F(RouterTest, MakesAReleaseAgainWhereItsCallThrows) {
+  RecordingClient client;
+  const auto id = accept(client);
+  finishPrefill();
+  engines.failsNextRelease = true;
+  router.cancel(id);
+  EXPECT_TRUE(engines.released.empty());
+  timers.advance(200'000);
+  EXPECT_EQ(engines.released.size(), 1u);
+}
+
 TEST_F(RouterTest, BeginsNoAttemptForAClientThatHasGone) {
   RecordingClient client;
   client.hasGone = true;
--- a/tests/support/frontend_world.h
+++ b/tests/support/frontend_world.h
@@ -43,8 +43,8 @@
   routing::DeliveryState deliveryState(routing::AttemptId) const override {
     return routing::DeliveryState::confirmed;
   }
-  void release(EndpointId server, RequestId request, const std::string&) override {
-    loop_.post([this, server, request] { events->onReleaseEnded(server, request, true); });
+  void release(const routing::ReleaseCall& call, const std::string&) override {
+    loop_.post([this, call] { events->onReleaseEnded(call, true); });
   }
   void probe(EndpointId) override {}
 
@@ -202,16 +202,19 @@
   }
   // Nothing is open or held, and the front accounts for nothing.
   bool clean() {
-    return until(
+    const bool isIdle = until(
         [&] {
           return router->pendingRequests() == 0 && router->activeRequests() == 0 &&
                  front->openRequests() == 0 &&
                  router->kvReservations().reservationCount() +
-                         router->kvReservations().pendingReleaseCount() ==
+                         router->kvReservations().unconfirmedReleaseCount() ==
                      0 &&
                  front->bufferedBytes() == 0;
         },
         2'000'000);
+    // Confirmed releases are repeated while an attempt that was given up may go on at its engine.
+    return isIdle && until([&] { return router->kvReservations().pendingReleaseCount() == 0; },
+                           routing::KvReservationTracker::kMaxAbandonedWork);
   }
 
   StubEngines engines;
--- a/tests/support/pool_peers.h
+++ b/tests/support/pool_peers.h
@@ -65,7 +65,7 @@
                 std::span<const std::uint32_t>) override {}
   void onAttemptEnded(routing::AttemptId, const routing::AttemptResult& r) override { ends.push_back(r); }
   void onProbeEnded(EndpointId, bool, const std::optional<LoadReport>&) override {}
-  void onReleaseEnded(EndpointId, RequestId, bool) override {}
+  void onReleaseEnded(const routing::ReleaseCall&, bool) override {}
   std::vector<routing::AttemptResult> ends;
 };
 
