Failing test: releases go out on kept connections that are silently dead

The scripted prefill response told one byte less than it had, so that no connection to it was ever kept: corrected, which makes the tests that use it stricter.

--- a/tests/process/kv_release_test.cpp
+++ b/tests/process/kv_release_test.cpp
@@ -5,6 +5,8 @@
 // when the state exists and nothing waits for it.
 #include <algorithm>
 #include <iostream>
+#include <set>
+#include <utility>
 
 #include "process_world.h"
 
@@ -46,6 +48,33 @@
         << id;
   }
 
+  // Has several idle connections of every engine.
+  void keepConnections() {
+    const auto later = [this](std::string_view answer) {
+      return [this, answer](Request& request) {
+        world.loop.after(50 * kMillisecond, [stream = request.stream, answer] { stream->send(answer); });
+      };
+    };
+    const auto usualPrefill = std::exchange(prefill, later(kRead));
+    const auto usualDecode = std::exchange(decode, later(kWhole));
+    for (int round = 0; round < 3; ++round) {
+      std::vector<std::unique_ptr<RawClient>> clients;
+      for (int i = 0; i < 6; ++i) {
+        clients.push_back(world.client());
+        clients.back()->ask("warm" + std::to_string(round * 6 + i));
+      }
+      ASSERT_TRUE(world.until(
+          [&] {
+            return std::all_of(clients.begin(), clients.end(),
+                               [](const auto& client) { return client->has("HTTP/1.1 "); });
+          },
+          3 * kSecond));
+    }
+    world.pass(50 * kMillisecond);
+    prefill = usualPrefill;
+    decode = usualDecode;
+  }
+
   struct ReceivedRelease {
     std::string target;
     net::Micros at = 0;
@@ -71,5 +100,46 @@
   expectReleaseFromNow("late-state");
 }
 
+// A decode is given up at its deadline; its connection's close comes to the engine 0.4 s late, and until then
+// every release spares the state that it waits for.
+TEST_F(KvReleaseTest, ReleasesAStateThatWasSparedForADecodeThatWasGivenUp) {
+  decode = [](Request&) {};
+  ASSERT_NO_FATAL_FAILURE(world.start());
+  auto client = world.client();
+  client->expiresInMs = 900;
+  client->ask("spared");
+  ASSERT_TRUE(world.until([&] { return client->has("HTTP/1.1 "); }, 2 * kSecond));
+  world.pass(400 * kMillisecond);
+  expectReleaseFromNow("spared");
+}
+
+// All connections to engines fall silent in the instant in which a prefill has ended, as after a failover on
+// the way; new ones are answered. Releases went out on the kept ones, engine after engine.
+TEST_F(KvReleaseTest, ReleasesAStateThoughAllKeptConnectionsFallSilent) {
+  bool isFailedOver = false;
+  std::set<net::Stream*> known;
+  isSilent = [&](ScriptedEngine&, Request& request) {
+    if (!isFailedOver) known.insert(request.stream);
+    return isFailedOver && known.contains(request.stream);
+  };
+  world.members += "," + memberText("w2", world.otherWriter, "m2");
+  world.discovery.list = listText(1, true, world.members);
+  net::Micros endedAt = 0;
+  prefill = [&](Request& request) {
+    request.stream->send(kRead);
+    if (isFailedOver || http1::find(request.head.fields, "x-trace-id") != "failover") return;
+    isFailedOver = true;
+    endedAt = world.loop.now();
+  };
+  ASSERT_NO_FATAL_FAILURE(world.start());
+  keepConnections();
+  auto client = world.client();
+  client->ask("failover");
+  ASSERT_TRUE(world.until([&] { return endedAt != 0; }, 2 * kSecond));
+  world.until([&] { return isReleased("failover", endedAt, world.loop.now()); }, 2 * kSecond);
+  EXPECT_TRUE(isReleased("failover", endedAt, endedAt + kReleaseTimeout + kReleaseSlack))
+      << (releases.empty() ? 0 : releases.back().at - endedAt);
+}
+
 }  // namespace
 }  // namespace garnethook::test
--- a/tests/support/platform_peers.h
+++ b/tests/support/platform_peers.h
@@ -98,7 +98,7 @@
 
 inline constexpr std::string_view kRead =
     "HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\nContent-Length: "
-    "21\r\n\r\n{\"cached_tokens\":4096}";
+    "22\r\n\r\n{\"cached_tokens\":4096}";
 inline constexpr std::string_view kHead =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 inline std::string chunk(std::string_view text) {
