KV releases leave dead kept connections after one try and share few connections fairly

Cause: each engine of a release's route was tried on its newest kept connection; where all had died without a sign, none was reached before the time-outs, 1.63 s in the test. Releases waited for a control connection without order, while one silent engine held all of them for 250 ms at a time. Change: ReleaseDispatcher takes the calls out of PlatformEngineClient: only the first try of a first call uses a kept connection, a route is followed twice without a pause, calls wait first come first served, one engine may keep a third of the connections, and probes let releases go first. The status line tells releases that wait.

--- a/src/engine/connection_pool.cpp
+++ b/src/engine/connection_pool.cpp
@@ -172,8 +172,8 @@
 // ---- exchanges ----
 
 void ConnectionPool::start(EndpointId endpoint, std::unique_ptr<Exchange> exchange, std::string request,
-                           Micros timeout) {
-  acquire(endpoints_.at(endpoint.value), ConnectionReuse::allowed)
+                           Micros timeout, ConnectionReuse reuse) {
+  acquire(endpoints_.at(endpoint.value), reuse)
       .start(std::move(exchange), fixedRequest(std::move(request)), timeout);
 }
 
--- a/src/engine/connection_pool.h
+++ b/src/engine/connection_pool.h
@@ -61,7 +61,9 @@
   /// @param exchange handles the response
   /// @param request the request's text
   /// @param timeout as for Connection::start
-  void start(EndpointId endpoint, std::unique_ptr<Exchange> exchange, std::string request, Micros timeout);
+  /// @param reuse whether an idle connection will do
+  void start(EndpointId endpoint, std::unique_ptr<Exchange> exchange, std::string request, Micros timeout,
+             ConnectionReuse reuse = ConnectionReuse::allowed);
   /// Starts the exchange of an attempt, on an idle connection or a new one.
   /// @param attempt names the exchange for cancel() and deliveryState()
   /// @param endpoint must be found by find()
--- a/src/platform/engine/platform_engine_client.h
+++ b/src/platform/engine/platform_engine_client.h
@@ -8,7 +8,7 @@
 
 #include "deployment_config/deployment_config.h"
 #include "engine/pooled_engine_client.h"
-#include "platform/engine/release_route.h"
+#include "platform/engine/release_dispatcher.h"
 #include "routing/engine_client.h"
 #include "timing/owned_timers.h"
 
@@ -38,29 +38,17 @@
   void probe(EndpointId endpoint) override;
   /// Whether checkLiveness() may be called.
   bool canCheckLiveness() const override { return canProbe_; }
+  /// Releases that wait for a connection.
+  std::size_t waitingReleases() const { return releases_.waitingCalls(); }
   /// Asks the endpoint of an attempt for any sign of life; the result is reported later.
   void checkLiveness(routing::AttemptId attempt, EndpointId endpoint) override;
 
  private:
-  // A release that is under way at one endpoint or several.
-  struct PendingRelease {
-    std::vector<EndpointId> route;
-    std::size_t nextTarget = 0;  // index into the route
-    int outstanding = 0;         // endpoints that were tried and have not responded
-    bool isFinished = false;
-    routing::ReleaseCall call;
-    std::string traceId;
-  };
-  void tryNextTarget(const std::shared_ptr<PendingRelease>& release);
-  void sendRelease(const std::shared_ptr<PendingRelease>& release, EndpointId target);
-  void finishRelease(const std::shared_ptr<PendingRelease>& release, bool succeeded);
-
   net::Loop& loop_;
   deployment_config::ReportMeanings meanings_;
-  Micros hedgeDelay_;
-  std::string ownZone_;
   bool canProbe_;
   timing::OwnedTimers timers_;
+  ReleaseDispatcher releases_;
 };
 
 }  // namespace garnethook::platform
--- a/src/platform/process/status_summary.cpp
+++ b/src/platform/process/status_summary.cpp
@@ -92,7 +92,8 @@
   text.section("engine connections")
       .count("busy", pool.busyConnections())
       .count("idle", pool.idleConnections())
-      .count("opened", pool.opened());
+      .count("opened", pool.opened())
+      .count("releases waiting", engines.waitingReleases());
 }
 
 void addCloseReasons(SummaryText& text, const HttpFrontend& frontend) {
--- a/src/routing/kv_reservation_tracker.cpp
+++ b/src/routing/kv_reservation_tracker.cpp
@@ -134,7 +134,7 @@
   release.calledAt = now;
   release.retryAt = 0;
   report(KvReservationChange::releaseCalled, key, release.callNumber);
-  return {key.second, key.first, release.callNumber};
+  return {key.second, key.first, release.callNumber, release.failures > 0};
 }
 
 // A release that is pending already is requested anew: its earlier calls may have spared the state.
--- a/src/routing/release_call.h
+++ b/src/routing/release_call.h
@@ -13,6 +13,7 @@
   EndpointId endpoint;       ///< The endpoint that holds, or may hold, the reservation.
   RequestId request;         ///< The request that the reservation is for.
   std::uint64_t number = 0;  ///< Counts the calls of one router, from 1.
+  bool isRetry = false;      ///< No endpoint has taken the call before it.
 };
 
 }  // namespace garnethook::routing
--- a/tests/process/kv_release_test.cpp
+++ b/tests/process/kv_release_test.cpp
@@ -141,5 +141,37 @@
       << (releases.empty() ? 0 : releases.back().at - endedAt);
 }
 
+// One engine takes releases and answers none. Few connections are for releases: thirty clients that leave at
+// once must not wait for that engine one after another.
+TEST_F(KvReleaseTest, ReleasesManyStatesThoughOneEngineAnswersNoRelease) {
+  constexpr int kRequests = 30;
+  isSilent = [&](ScriptedEngine& engine, Request& request) {
+    return &engine == &world.reader && request.head.method != "POST";
+  };
+  decode = [](Request&) {};
+  world.writeConfig(platformConfigText(world.discovery.address(), 110));
+  ASSERT_NO_FATAL_FAILURE(world.start());
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < kRequests; ++i) {
+    clients.push_back(world.client());
+    clients.back()->ask("many" + std::to_string(i));
+  }
+  ASSERT_TRUE(world.until([&] { return world.writer.count("POST") >= kRequests / 2; }, 3 * kSecond));
+  world.pass(200 * kMillisecond);
+  std::vector<std::string> held;
+  for (const Request& request : world.writer.seen)
+    if (request.head.method == "POST") held.emplace_back(*http1::find(request.head.fields, "x-trace-id"));
+  for (auto& client : clients) client->stream.close();
+  const net::Micros leftAt = world.loop.now();
+  const auto allReleased = [&] {
+    return std::all_of(held.begin(), held.end(), [&](const std::string& id) {
+      return isReleased(id, leftAt, leftAt + kReleaseTimeout + kReleaseSlack);
+    });
+  };
+  EXPECT_TRUE(world.until(allReleased, kReleaseTimeout + kReleaseSlack));
+  std::cout << held.size() << " states, the last release after " << (releases.back().at - leftAt) / 1000
+            << " ms\n";
+}
+
 }  // namespace
 }  // namespace garnethook::test
