--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -108,8 +108,8 @@
 }
 
 void refuseNewConnections(int listener) {
-  sock_filter dropAll[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
-  const sock_fprog program{.len = 1, .filter = dropAll};
+  sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{.len = 1, .filter = &dropAll};
   for (int i = 0; i < kRepeats; ++i)
     if (::setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) == 0) return;
 }
--- a/tests/process/kv_release_test.cpp
+++ b/tests/process/kv_release_test.cpp
@@ -34,6 +34,17 @@
     else
       decode(request);
   }
+  // Starts the program; a client asks and leaves while the prefill is at work, which goes on and answers
+  // nobody.
+  void leaveDuringPrefill(const std::string& id) {
+    prefill = [](Request&) {};
+    ASSERT_NO_FATAL_FAILURE(world.start());
+    const auto leaving = world.client();
+    leaving->ask(id);
+    ASSERT_TRUE(world.until([&] { return world.reader.count("POST") == 1; }, 2 * kSecond));
+    world.pass(100 * kMillisecond);
+    leaving->stream.close();
+  }
   // Whether a release of the request has arrived at any engine within these times.
   bool isReleased(const std::string& id, net::Micros from, net::Micros until) const {
     return std::any_of(releases.begin(), releases.end(), [&](const ReceivedRelease& release) {
@@ -89,13 +100,7 @@
 // The client leaves 0.1 s into a prefill that takes 0.9 s. The release was answered at once, when there was
 // no state yet; the engine went on, as engines do, and kept the state that nobody wanted.
 TEST_F(KvReleaseTest, ReleasesAStateThatAppearsAfterItsPrefillWasGivenUp) {
-  prefill = [](Request&) {};  // it is at work, and answers nobody
-  ASSERT_NO_FATAL_FAILURE(world.start());
-  auto leaving = world.client();
-  leaving->ask("late-state");
-  ASSERT_TRUE(world.until([&] { return world.reader.count("POST") == 1; }, 2 * kSecond));
-  world.pass(100 * kMillisecond);
-  leaving->stream.close();
+  ASSERT_NO_FATAL_FAILURE(leaveDuringPrefill("late-state"));
   world.pass(800 * kMillisecond);
   expectReleaseFromNow("late-state");
 }
@@ -176,12 +181,7 @@
 // The router is told to end while a prefill that was given up goes on. Nobody would release its state after
 // the process has ended; the platform kills it 3.7 s after the signal.
 TEST_F(KvReleaseTest, WaitsForLateStatesBeforeItExits) {
-  prefill = [](Request&) {};
-  ASSERT_NO_FATAL_FAILURE(world.start());
-  auto leaving = world.client();
-  leaving->ask("late-at-end");
-  ASSERT_TRUE(world.until([&] { return world.reader.count("POST") == 1; }, 2 * kSecond));
-  leaving->stream.close();
+  ASSERT_NO_FATAL_FAILURE(leaveDuringPrefill("late-at-end"));
   world.program->signal(SIGTERM);
   const net::Micros toldAt = world.loop.now();
   world.pass(1200 * kMillisecond);
@@ -193,12 +193,7 @@
 // The endpoint leaves the list while it goes on with a prefill that was given up: its state is released by
 // way of the other engines, and the process that ran it still hears of it.
 TEST_F(KvReleaseTest, ReleasesALateStateOfAnEndpointThatHasLeftTheList) {
-  prefill = [](Request&) {};
-  ASSERT_NO_FATAL_FAILURE(world.start());
-  auto leaving = world.client();
-  leaving->ask("late-and-gone");
-  ASSERT_TRUE(world.until([&] { return world.reader.count("POST") == 1; }, 2 * kSecond));
-  leaving->stream.close();
+  ASSERT_NO_FATAL_FAILURE(leaveDuringPrefill("late-and-gone"));
   world.discovery.publish(listText(2, false, memberText("r", world.reader, "m1", "gone")));
   world.pass(800 * kMillisecond);
   expectReleaseFromNow("late-and-gone");
