Engines that left the list can be asked to release; drills wait for repeated releases

Change: a drill ends once no release is pending; its clients send nothing when their time is over; ConnectionPool knows an endpoint that left the list for 10 s more (Options::keepUnlisted; the test that it is forgotten after its exchanges sets 0, with the same checks, and a new one reaches such an endpoint).

--- a/src/engine/connection_pool.cpp
+++ b/src/engine/connection_pool.cpp
@@ -87,17 +87,19 @@
 }
 
 void ConnectionPool::unlist(Endpoint& endpoint) {
-  endpoint.isListed = false;
+  if (std::exchange(endpoint.isListed, false)) endpoint.unlistedAt = loop_.now();
   closeIdle(endpoint);
   unlisted_.insert(endpoint.spec.id.value);
 }
 
-// Endpoints that have left are forgotten once their exchanges are over.
+// Endpoints that have left are forgotten once their exchanges are over and nothing of them needs to be
+// released.
 void ConnectionPool::forgetUnlisted() {
   std::erase_if(unlisted_, [this](std::uint64_t id) {
     const auto found = endpoints_.find(id);
     if (found == endpoints_.end() || found->second.isListed) return true;
-    if (found->second.busyCount > 0) return false;
+    const bool isNeeded = loop_.now() - found->second.unlistedAt < options_.keepUnlisted;
+    if (found->second.busyCount > 0 || isNeeded) return false;
     withIdle_.erase(&found->second);
     endpoints_.erase(found);
     return true;
--- a/src/engine/connection_pool.h
+++ b/src/engine/connection_pool.h
@@ -41,7 +41,8 @@
   void update(const membership::EndpointMap& endpoints);
   /// Applies changes; endpoints that are not among them stay as they are.
   void apply(const membership::EndpointMap& changes);
-  /// The endpoint; nothing where it is not known, or its address can't be used.
+  /// The endpoint; nothing where it is not known, or its address can't be used. One that has left the list is
+  /// known for some seconds more, as it may hold what has to be released.
   const membership::EndpointSpec* find(EndpointId endpoint) const;
   /// Whether the endpoint is listed as running, so that it may get new requests.
   bool isRunning(EndpointId endpoint) const;
@@ -96,6 +97,7 @@
     Poco::Net::SocketAddress address;
     bool isResolved = false;
     bool isListed = false;
+    Micros unlistedAt = 0;                          // when it left the list
     std::vector<std::unique_ptr<Connection>> idle;  // the latest last
     std::size_t busyCount = 0;
     Responsiveness responsiveness = Responsiveness::unknown;
--- a/src/engine/options.h
+++ b/src/engine/options.h
@@ -30,6 +30,8 @@
   Micros controlTimeout = 400'000;
   /// An idle connection is closed after this time.
   Micros idleTimeout = 30'000'000;
+  /// An endpoint that has left the list can be reached for this long, to release what it holds.
+  Micros keepUnlisted = 10'000'000;
   /// Connections to one endpoint, those of releases and probes not counted.
   std::size_t connections = 1024;
   /// Idle connections that are kept to one endpoint.
--- a/src/fault_scenario/clients.cpp
+++ b/src/fault_scenario/clients.cpp
@@ -278,7 +278,8 @@
   loop_.after(delay, [this, plan = std::move(plan), alive = std::weak_ptr<int>(alive_)]() mutable {
     if (alive.expired()) return;
     --waiting_;
-    send(std::move(plan));
+    // A loop that is late may get here when the client has given up: it sends nothing without any time left.
+    if (loop_.now() < plan.giveUp) send(std::move(plan));
   });
 }
 
--- a/src/fault_scenario/runner.cpp
+++ b/src/fault_scenario/runner.cpp
@@ -181,12 +181,20 @@
       doneSince_ = 0;
     else if (doneSince_ == 0)
       doneSince_ = now;
-    const bool settled = doneSince_ != 0 && now - doneSince_ >= script_.settle;
+    const bool settled = doneSince_ != 0 && now - doneSince_ >= script_.settle && !repeatReleases();
     timedOut_ = now >= until_;
     if (settled || timedOut_) return loop_.stop();
     watch_.start(50'000, [this] { check(); });
   }
 
+  // Whether routers still repeat releases of attempts that were given up. The day ends after them; a router
+  // that never comes to an end with them makes the day time out.
+  bool repeatReleases() const {
+    return std::any_of(routers_.begin(), routers_.end(), [](const auto& router) {
+      return router && router->router().kvReservations().pendingReleaseCount() > 0;
+    });
+  }
+
   Result result() {
     Result r;
     r.audit = audit(recorder_.events(), script_.rules);
--- a/tests/engine/connection_pool_test.cpp
+++ b/tests/engine/connection_pool_test.cpp
@@ -39,6 +39,22 @@
   EXPECT_EQ(pool.opened(), 2u);
 }
 
+// Seen in a drill with an empty list: what an endpoint held could not be released until it was listed again.
+TEST(ConnectionPool, ReachesAnEndpointThatHasLeftTheListForSomeSeconds) {
+  LoopRunner w;
+  ScriptedEngine e(w.loop);
+  engine::ConnectionPool pool(w.loop, {});
+  ASSERT_NO_FATAL_FAILURE(keepOne(w, e, pool));
+  pool.update({});
+  EXPECT_FALSE(pool.isRunning({7}));
+  EXPECT_TRUE(pool.listedEndpoints().empty());
+  ASSERT_NE(pool.find({7}), nullptr);
+  Heard second;
+  pool.start({7}, std::make_unique<Listening>(second), kGet, 0);
+  ASSERT_TRUE(w.until([&] { return second.ends == 1; }, 1'000'000));
+  EXPECT_EQ(second.body, "mine");
+}
+
 // The time that a request tells must be what is left when it goes out, not when it was ordered.
 TEST(ConnectionPool, MakesTheRequestWhenItsConnectionIsEstablished) {
   constexpr net::Micros kLate = 200'000;
@@ -130,7 +146,7 @@
 TEST(ConnectionPool, LeavesOtherEndpointsAloneWhenChangesAreApplied) {
   LoopRunner w;
   ScriptedEngine e(w.loop);  // answers when the test says so
-  engine::ConnectionPool pool(w.loop, {});
+  engine::ConnectionPool pool(w.loop, {.keepUnlisted = 0});
   auto engine = only(Poco::Net::SocketAddress(e.address()));
   pool.update(engine);
   membership::EndpointMap changes{{"f", engine.at("e")}};
