A request's deadline runs from its arrival at the machine, not from its read

Cause: the arrival of a request was the moment of its read; only time in a paused accept queue was counted. What the bytes waited for in the socket was lost before the count began, so all attempts of a request were off by the same amount. `serve` counted from the read as well, and a call's timeout from the end of its request in place of its headers.

New tests stop the loop for 300 or 400 ms between arrival and read; before the change 4 of 6 cases of HeldUpRouter fail (engines told 998 ms of 1,000) and Path.ACallThatARouterReadsLateGetsItsStatusBeforeTheDeadline fails in both cases (status after 1,162 of 800 ms).

Change: Stream::arrival() tells when the bytes of a read arrived: the last byte by TCP_INFO, earlier ones no sooner than the loop's previous poll. Both frontends count from it, for pipelined input too. It works as the kernel dates the bytes however long the process is held up.

Measured: the new tests pass.

--- a/src/grpc_frontend/generate_call.cpp
+++ b/src/grpc_frontend/generate_call.cpp
@@ -66,13 +66,14 @@
 
 GenerateCall::GenerateCall(bool streaming, routing::Router& router, PromptTokenCounter* tokenCounter,
                            const RequestDecoderOptions& decoderOptions, std::size_t maxQueuedBytes,
-                           std::optional<Micros> timeout, CallOutput& output)
+                           const timing::Timers& clock, std::optional<Micros> deadline, CallOutput& output)
     : streaming_(streaming),
       router_(router),
       tokenCounter_(tokenCounter),
       decoderOptions_(decoderOptions),
       maxQueuedBytes_(maxQueuedBytes),
-      timeout_(timeout),
+      clock_(clock),
+      deadline_(deadline),
       output_(output) {}
 
 GenerateCall::~GenerateCall() { onCancel(); }
@@ -94,7 +95,8 @@
   if (finished_) return;
   if (!request_) return failCall(grpc::Code::unimplemented, "a request message is missing");
   std::string error;
-  auto request = decodeRequest(*request_, timeout_, decoderOptions_, error);
+  const auto remaining = deadline_ ? std::optional(*deadline_ - clock_.now()) : std::nullopt;
+  auto request = decodeRequest(*request_, remaining, decoderOptions_, error);
   request_->Clear();
   if (!request) return failCall(grpc::Code::invalidArgument, error);
   const auto submit = [this](routing::Request counted) {
--- a/src/grpc_frontend/generate_call.h
+++ b/src/grpc_frontend/generate_call.h
@@ -13,10 +13,11 @@
   /// @param streaming Generate if true, otherwise GenerateOnce
   /// @param tokenCounter nullptr: token counts of prompts remain estimates
   /// @param maxQueuedBytes the call is aborted once more response data than this waits for a slow client
-  /// @param timeout the client's deadline, if specified
+  /// @param clock the clock of the deadline; must outlive the call
+  /// @param deadline the client's deadline, if specified
   GenerateCall(bool streaming, routing::Router& router, PromptTokenCounter* tokenCounter,
                const RequestDecoderOptions& decoderOptions, std::size_t maxQueuedBytes,
-               std::optional<Micros> timeout, CallOutput& output);
+               const timing::Timers& clock, std::optional<Micros> deadline, CallOutput& output);
   ~GenerateCall() override;
   void onMessage(std::string_view message) override;
   void onRequestEnd() override;
@@ -33,7 +34,8 @@
   std::uint64_t countTicket_ = 0;  // 0: no count in progress
   const RequestDecoderOptions& decoderOptions_;
   std::size_t maxQueuedBytes_;
-  std::optional<Micros> timeout_;
+  const timing::Timers& clock_;
+  std::optional<Micros> deadline_;
   CallOutput& output_;
   std::optional<v1::GenerateRequest> request_;
   RequestId id_;
--- a/src/grpc_frontend/grpc_server.cpp
+++ b/src/grpc_frontend/grpc_server.cpp
@@ -18,11 +18,11 @@
 
 class GrpcServer::Connection final : public net::StreamEvents, public http2::ConnectionEvents {
  public:
-  Connection(GrpcServer& owner, Poco::Net::StreamSocket socket)
+  Connection(GrpcServer& owner, const Poco::Net::StreamSocket& socket, Micros connectedSince)
       : owner_(owner),
         codec_(http2::Side::server, owner.options_.http2, *this),
         timer_(owner.loop_),
-        netStream_(owner.loop_, std::move(socket), *this) {
+        netStream_(owner.loop_, socket, *this, connectedSince) {
     timer_.start(owner_.options_.prefaceTimeout, [this] { closeGracefully(); });
     flush();
   }
@@ -144,11 +144,12 @@
       timeout = grpc::parseTimeout(*text);
       if (!timeout) return stream.finish({grpc::Code::internal, "grpc-timeout: malformed", {}}, {}, false);
     }
-    if (timeout) stream.deadline = owner_.loop_.now() + *timeout;
+    // The client's timeout began with the headers; the frames behind them may have arrived later.
+    if (timeout) stream.deadline = netStream_.arrival().earliest + *timeout;
     if (const auto coding = http2::find(headers, "grpc-encoding"); coding && *coding != "identity")
       return stream.finish({grpc::Code::unimplemented, "grpc-encoding: only identity is taken", {}}, {},
                            false);
-    stream.call = createCall(path, stream, timeout);
+    stream.call = createCall(path, stream, timeout ? std::optional(stream.deadline) : std::nullopt);
     if (!stream.call)
       return stream.finish(
           {grpc::Code::unimplemented, "unknown method " + std::string(path.substr(0, 200)), {}}, {}, false);
@@ -156,11 +157,11 @@
   }
 
   std::unique_ptr<Call> createCall(std::string_view path, CallStream& responseOutput,
-                                   std::optional<Micros> timeout) {
+                                   std::optional<Micros> deadline) {
     const auto generate = [&](bool streaming) {
       return std::make_unique<GenerateCall>(streaming, owner_.router_, owner_.tokenCounter_,
                                             owner_.decoderOptions_, owner_.options_.maxQueuedResponseBytes,
-                                            timeout, responseOutput);
+                                            owner_.loop_, deadline, responseOutput);
     };
     if (path == "/garnethook.v1.Generation/Generate") return generate(true);
     if (path == "/garnethook.v1.Generation/GenerateOnce") return generate(false);
@@ -280,14 +281,14 @@
       router_(router),
       health_(health),
       tokenCounter_(tokenCounter),
-      listener_(loop, address, [this](Poco::Net::StreamSocket accepted) { accept(std::move(accepted)); }) {}
+      listener_(loop, address, [this](const Poco::Net::StreamSocket& accepted) { accept(accepted); }) {}
 
 GrpcServer::~GrpcServer() = default;
 
-void GrpcServer::accept(Poco::Net::StreamSocket socket) {
+void GrpcServer::accept(const Poco::Net::StreamSocket& socket) {
   if (draining_ || connections_.size() >= options_.maxConnections)
     return;  // the socket is closed when it goes out of scope
-  auto connection = std::make_shared<Connection>(*this, std::move(socket));
+  auto connection = std::make_shared<Connection>(*this, socket, listener_.earliestConnect());
   connections_[connection.get()] = connection;
 }
 
--- a/src/grpc_frontend/grpc_server.h
+++ b/src/grpc_frontend/grpc_server.h
@@ -57,7 +57,7 @@
  private:
   class Connection;
   friend class Connection;
-  void accept(Poco::Net::StreamSocket socket);
+  void accept(const Poco::Net::StreamSocket& socket);
   void onConnectionClosed(Connection& connection);
 
   net::Loop& loop_;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -55,7 +55,7 @@
 
 void Listener::setWatching(bool on) {
   isPaused_ = !on;
-  if (isPaused_ && !backlogSince_) backlogSince_ = loop_.now();
+  if (isPaused_ && !backlogSince_) backlogSince_ = loop_.earliestArrival();
   watch_.await(on, false);
 }
 
@@ -125,6 +125,7 @@
         break;
     }
   }
+  if (!backlogSince_) backlogSince_ = loop_.earliestArrival();
   return true;
 }
 
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -35,9 +35,8 @@
   /// then stops accepting and releases the port. If the system lacks a descriptor for one of them, accepting
   /// is retried for half a second.
   void close();
-  /// Time since which connections may have been waiting in the kernel's accept queue; `std::nullopt` if the
-  /// queue was found empty after the latest pause.
-  std::optional<Micros> backlogSince() const { return backlogSince_; }
+  /// Earliest time at which the connection that is being accepted may have been established.
+  Micros earliestConnect() const { return backlogSince_.value_or(loop_.earliestArrival()); }
   /// Whether the listener may still accept connections.
   bool open() const { return isOpen_; }
   /// Leaves new connections in the kernel's accept queue until resume(). No effect once close() was called.
@@ -63,6 +62,7 @@
   SocketWatch watch_;
   timing::Alarm retryAlarm_;
   Micros retryDelay_ = 0;
+  // Since when connections may have been waiting in the kernel's accept queue; none if it was found empty.
   std::optional<Micros> backlogSince_;
   bool isPaused_ = true;
   bool isClosing_ = false;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -32,7 +32,8 @@
 }
 }  // namespace
 
-Loop::Loop() : wheel_(kTimerResolution, now()) {
+Loop::Loop()
+    : wheel_(kTimerResolution, now()), turnStartedAt_(now()), previousTurnStartedAt_(turnStartedAt_) {
   std::array<int, 2> descriptors{};
   if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, descriptors.data()) != 0)
     throw Poco::IOException("cannot create the event loop's wake-up socket pair", errno);
@@ -92,6 +93,10 @@
 
 Micros Loop::now() const { return kClockOffset + monotonicNow(); }
 
+Micros Loop::earliestArrival() const {
+  return std::min(now(), previousTurnStartedAt_ + kPeriodicTimerInterval);
+}
+
 timing::TimerKey Loop::after(Micros delay, timing::TimerWheel::Task task) {
   const auto key =
       wheel_.add(now() + std::max<Micros>(0, delay), [this, task = std::move(task)] { runTask(task); });
@@ -133,7 +138,9 @@
   wake();
 }
 
+// The reactor runs a turn when a poll has returned, before it dispatches the reported events.
 void Loop::turn() {
+  previousTurnStartedAt_ = std::exchange(turnStartedAt_, now());
   wheel_.advance(now());
   if (hasPostedTasks_.exchange(false)) {
     std::vector<std::function<void()>> tasks;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -36,6 +36,12 @@
 
   /// Time of the monotonic clock in microseconds; the epoch is arbitrary and not that of Unix time.
   Micros now() const override;
+  /// Earliest time at which input may have arrived that the latest poll was the first to report: that input
+  /// came after the previous poll. A loop that was not held up (no core, a stopped process, a long task)
+  /// polls once in kPeriodicTimerInterval, so that much of the time between the polls is not counted.
+  Micros earliestArrival() const;
+  /// Whether a poll that began after this time returned before the latest poll.
+  bool hasPolledSince(Micros time) const { return previousTurnStartedAt_ > time; }
   /// Runs the task after the delay (microseconds), never inside this call.
   timing::TimerKey after(Micros delay, timing::TimerWheel::Task task) override;
   /// Cancels a timer. @return false if it has already run or been cancelled
@@ -73,6 +79,8 @@
   void runTask(const std::function<void()>& task);
 
   timing::TimerWheel wheel_;
+  Micros turnStartedAt_ = 0;
+  Micros previousTurnStartedAt_ = 0;
   std::mutex mutex_;
   std::vector<std::function<void()>> postedTasks_;
   std::atomic<bool> hasPostedTasks_ = false;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -27,7 +27,7 @@
   return {[this] { onReadable(); }, [this] { onWritable(); }, [this] { onError(); }};
 }
 
-Stream::Stream(Loop& loop, const Poco::Net::StreamSocket& socket, StreamEvents& events)
+Stream::Stream(Loop& loop, const Poco::Net::StreamSocket& socket, StreamEvents& events, Micros connectedSince)
     : loop_(loop),
       socket_(socket),
       events_(events),
@@ -36,6 +36,8 @@
       connectRetryAlarm_(loop),
       connectTimeoutAlarm_(loop),
       closeAlarm_(loop),
+      arrival_{connectedSince, connectedSince},
+      leftUnreadAt_(loop.now()),
       isConnected_(true) {
   disableNagle(descriptor());
   watch_.attach(socket_);
@@ -117,10 +119,6 @@
   return unacknowledgedBytes(descriptor()).value_or(0) == 0;
 }
 
-Micros Stream::timeSinceLastReceive() const {
-  return isOpen_ && isConnected_ ? net::timeSinceLastReceive(descriptor()).value_or(0) : 0;
-}
-
 bool Stream::peerGone() const {
   if (!isOpen_) return true;
   return isConnected_ && peerHasClosed(descriptor());
@@ -142,11 +140,24 @@
       case Transfer::broken: return closeWithEvent(CloseCause::reset);
       case Transfer::done: break;
     }
+    recordArrival(read.count == buffer.size());
     if (!closesAfterSending_) events_.onBytes({buffer.data(), read.count});
     if (read.count < buffer.size()) return;
   }
 }
 
+// The system reports the arrival of the last byte that it received. That is the last byte read, unless more
+// are unread.
+void Stream::recordArrival(bool mayHaveMore) {
+  if (loop_.hasPolledSince(leftUnreadAt_)) arrival_.earliest = loop_.earliestArrival();
+  const Micros now = loop_.now();
+  leftUnreadAt_ = mayHaveMore ? now : 0;
+  arrival_.latest = arrival_.earliest;
+  if (mayHaveMore) return;
+  if (const auto age = timeSinceLastReceive(descriptor())) arrival_.latest = now - *age;
+  arrival_.earliest = std::min(arrival_.earliest, arrival_.latest);
+}
+
 void Stream::onWritable() {
   if (!isOpen_) return;
   const auto isAlive = isAlive_;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/arrival.h"
 #include "net/loop.h"
 #include "net/socket_watch.h"
 
@@ -50,7 +51,11 @@
   /// @param loop event loop that drives the stream; must outlive it
   /// @param socket the connected socket
   /// @param events receives the stream's events; must outlive the stream
-  Stream(Loop& loop, const Poco::Net::StreamSocket& socket, StreamEvents& events);
+  /// @param connectedSince earliest time at which the connection may have been established
+  Stream(Loop& loop, const Poco::Net::StreamSocket& socket, StreamEvents& events, Micros connectedSince);
+  /// Wraps an accepted, connected socket of which nothing is known but that it is connected now.
+  Stream(Loop& loop, const Poco::Net::StreamSocket& socket, StreamEvents& events)
+      : Stream(loop, socket, events, loop.earliestArrival()) {}
   /// Starts to connect; onConnected follows, or onClosed with refused, timedOut or unavailable. If this
   /// machine cannot start the connection, it is retried until the timeout.
   /// @param loop event loop that drives the stream; must outlive it
@@ -100,8 +105,8 @@
   /// Accepts no more bytes to send; once all pending bytes have been sent, sends a FIN. onClosed follows when
   /// the peer has closed too; the owner must bound how long that may take.
   void finishSending(Inbound inbound = Inbound::read);
-  /// Microseconds since bytes were last received; 0 if the system cannot report it.
-  Micros timeSinceLastReceive() const;
+  /// When the bytes of the latest onBytes() arrived.
+  const Arrival& arrival() const { return arrival_; }
   /// Whether the peer has closed or reset the connection, even if that has not been read yet; queries the
   /// system.
   bool peerGone() const;
@@ -109,6 +114,7 @@
  private:
   SocketWatch::Events watchEvents();
   void onReadable();
+  void recordArrival(bool mayHaveMore);
   void onWritable();
   void onError();
   void connect();
@@ -140,6 +146,9 @@
   std::string sendBuffer_;
   std::size_t sentBytes_ = 0;  // prefix of the buffer that has been sent
   std::size_t unsent_ = 0;
+  Arrival arrival_;
+  // When unread bytes may last have been left in the socket, which arrived at arrival_.earliest or later.
+  Micros leftUnreadAt_ = 0;
   bool isConnected_ = false;
   bool isOpen_ = true;
   bool closesAfterSending_ = false;
--- a/src/platform/http_frontend/http_connection.cpp
+++ b/src/platform/http_frontend/http_connection.cpp
@@ -29,7 +29,7 @@
 }  // namespace
 
 HttpFrontend::Connection::Connection(HttpFrontend& owner, const Poco::Net::StreamSocket& socket,
-                                     Micros acceptDelay)
+                                     Micros connectedSince)
     : owner_(owner),
       lingeringClose_(owner.options_.maxLingeringInputBytes),
       parser_(http1::MessageParser::Kind::request, messageLimits(), *this),
@@ -37,8 +37,7 @@
       pipelinedInput_(owner.options_.maxPipelinedBytes, owner.pipelinedBudget_),
       bodyReservation_(owner.bodyBudget_),
       lastResponseAt_(owner.loop_.now()),
-      acceptDelay_(acceptDelay),
-      stream_(owner.loop_, socket, *this),
+      stream_(owner.loop_, socket, *this, connectedSince),
       responses_(stream_) {
   startRequestTimer();
 }
@@ -58,10 +57,7 @@
   }
   if (pipelinedInput_.hasOverflowed() || persistence_.isClosingAnnounced()) return;
   if (isRequestOpen_ || !pipelinedInput_.empty()) return bufferInput(bytes);
-  // The client's deadline includes the time that its connection waited in the accept queue.
-  const Micros maxDelay = std::exchange(acceptDelay_, 0);
-  const Micros delay = maxDelay > 0 ? std::min(maxDelay, stream_.timeSinceLastReceive()) : 0;
-  const std::size_t parsed = parseInput(bytes, owner_.loop_.now() - delay);
+  const std::size_t parsed = parseInput(bytes, stream_.arrival());
   if (parsed < bytes.size() && state_ == State::open && !persistence_.isClosingAnnounced())
     bufferInput(bytes.substr(parsed));
 }
@@ -71,15 +67,15 @@
 // connection is closed once the buffered requests have been answered. This bounds the memory used by
 // clients that send without waiting for responses.
 void HttpFrontend::Connection::bufferInput(std::string_view bytes) {
-  pipelinedInput_.append(bytes, owner_.loop_.now());
+  pipelinedInput_.append(bytes, stream_.arrival().earliest);
   if (pipelinedInput_.hasOverflowed()) persistence_.closeAfterBufferedInput();
   if (!isRequestOpen_) postServeNextRequest();
 }
 
 // Returns the number of bytes parsed: all bytes, or those up to the end of a request.
-std::size_t HttpFrontend::Connection::parseInput(std::string_view bytes, Micros arrivedAt) {
+std::size_t HttpFrontend::Connection::parseInput(std::string_view bytes, const net::Arrival& arrival) {
   if (hasResponded_ && !parser_.hasPartialInput()) startRequestTimer();  // first byte of a further request
-  inputArrivedAt_ = arrivedAt;
+  inputArrival_ = arrival;
   parser_.resume();
   isParsing_ = true;
   const bool isValid = parser_.receive(bytes);
@@ -111,7 +107,7 @@
     if (servedRequests >= kMaxRequestsPerIteration) return postServeNextRequest();
     PipelinedInput::Segment segment = pipelinedInput_.takeFirst();
     const std::size_t size = segment.unparsed().size();
-    const std::size_t parsed = parseInput(segment.unparsed(), segment.arrivedAt);
+    const std::size_t parsed = parseInput(segment.unparsed(), {segment.arrivedAt, segment.arrivedAt});
     if (state_ != State::open || persistence_.isClosingAnnounced() || parsed == size) continue;
     pipelinedInput_.putBack(std::move(segment), parsed);
     ++servedRequests;
@@ -175,12 +171,18 @@
     return reject(409, "X-Trace-Id: is that of an open request");
   // The process may exit before it could respond.
   if (owner_.rejectsRequests_) return respond(503, "the router is going down", owner_.options_.retryAfter);
-  // The client's deadline runs from the arrival of the request's last byte, including the time that it was
-  // buffered during an earlier request.
-  request.remaining -= owner_.loop_.now() - inputArrivedAt_;
+  // The client's deadline runs from the arrival of the request's last byte, including the time that it waited
+  // to be accepted, to be read and for an earlier request.
+  request.remaining -= owner_.loop_.now() - requestArrivedAt();
   openRequest(std::move(request), bodyBytes);
 }
 
+// When the last byte of the request being parsed arrived. If input follows it, that may have been any time
+// within the arrival of the input.
+Micros HttpFrontend::Connection::requestArrivedAt() const {
+  return parser_.unconsumed() > 0 ? inputArrival_.earliest : inputArrival_.latest;
+}
+
 void HttpFrontend::Connection::openRequest(routing::Request request, std::size_t bodyBytes) {
   traceId_ = request.traceId;
   owner_.openTraceIds_.insert(traceId_);
--- a/src/platform/http_frontend/http_connection.h
+++ b/src/platform/http_frontend/http_connection.h
@@ -29,9 +29,8 @@
  public:
   /// @param owner the frontend, which must outlive the connection's last event
   /// @param socket the accepted connection
-  /// @param acceptDelay longest time, in microseconds, that it and its first request may have waited in the
-  /// accept queue
-  Connection(HttpFrontend& owner, const Poco::Net::StreamSocket& socket, Micros acceptDelay);
+  /// @param connectedSince earliest time at which the connection may have been established
+  Connection(HttpFrontend& owner, const Poco::Net::StreamSocket& socket, Micros connectedSince);
   ~Connection() override = default;
 
   /// The connection's current activity, for ConnectionPolicy.
@@ -61,7 +60,7 @@
   void onBytes(std::string_view bytes) override;
   void onClosed(net::CloseCause) override { close(CloseReason::clientClosed); }
   void bufferInput(std::string_view bytes);
-  std::size_t parseInput(std::string_view bytes, Micros arrivedAt);
+  std::size_t parseInput(std::string_view bytes, const net::Arrival& arrival);
   bool hasMoreInput() const;
   void postServeNextRequest();
   void serveNextRequest();
@@ -72,6 +71,7 @@
   void onBody(std::string_view bytes) override;
   void onEnd() override;
   void dispatch(std::string body, std::size_t bodyBytes);
+  Micros requestArrivedAt() const;
   void openRequest(routing::Request request, std::size_t bodyBytes);
   void closeRequest();
   void cancelRequest();
@@ -108,8 +108,7 @@
   std::optional<RequestId> requestId_;
   bool isRequestOpen_ = false;  // passed to the router, which has not completed it yet
   Micros lastResponseAt_;       // initially when the connection was accepted
-  Micros acceptDelay_;          // upper bound; 0 once the first bytes were read
-  Micros inputArrivedAt_ = 0;   // arrival time of the bytes being parsed
+  net::Arrival inputArrival_;   // of the bytes being parsed
   bool isParsing_ = false;
   bool hasResponded_ = false;  // at least one response was completed
   bool serveNextPosted_ = false;
--- a/src/platform/http_frontend/http_frontend.cpp
+++ b/src/platform/http_frontend/http_frontend.cpp
@@ -47,8 +47,7 @@
 void HttpFrontend::accept(const Poco::Net::StreamSocket& socket) {
   ++counters_.accepted;
   try {
-    const Micros acceptDelay = loop_.now() - listener_.backlogSince().value_or(loop_.now());
-    auto owned = std::make_unique<Connection>(*this, socket, acceptDelay);
+    auto owned = std::make_unique<Connection>(*this, socket, listener_.earliestConnect());
     Connection* const connection = owned.get();
     connections_.emplace(connection, std::move(owned));
     if (isDraining_) connection->drain(false);
--- a/tests/path/crossings_test.cpp
+++ b/tests/path/crossings_test.cpp
@@ -344,6 +344,52 @@
   EXPECT_TRUE(world.clean());
 }
 
+// A process may be held up (stopped, without a core, in a long task) while requests arrive.
+struct HeldUpRouter : testing::TestWithParam<bool> {
+  static constexpr Micros kHoldUp = 300'000;
+  static constexpr Micros kTolerance = 100'000;  // less than the slack of the deadlines that engines are told
+  static constexpr int kExpiresMs = 1000;
+  bool isIdleConnection() const { return GetParam(); }
+  FrontendWorld world;
+};
+INSTANTIATE_TEST_SUITE_P(All, HeldUpRouter, testing::Bool());
+
+// Guards against counting a request's deadline from the moment of its read: engines were told time that the
+// client no longer had.
+TEST_P(HeldUpRouter, CountsTheTimeThatARequestWaitsToBeReadAgainstItsDeadline) {
+  auto blockingClient = isIdleConnection() ? world.acceptedClient(true) : world.client();
+  blockingClient->send(clientRequest("late", "chat", "", kExpiresMs));
+  world.stall(kHoldUp);
+  ASSERT_TRUE(world.served(*blockingClient, 1)) << blockingClient->got;
+  ASSERT_EQ(world.engines.begun.size(), 2u);
+  for (const auto& attempt : world.engines.begun)
+    EXPECT_LE(attempt.timeout, kExpiresMs * 1000 - kHoldUp + kTolerance);
+}
+
+// The system reports only the arrival of the last byte, so requests before it have waited for longer.
+TEST_P(HeldUpRouter, CountsTheWaitOfEachPipelinedRequest) {
+  auto blockingClient = isIdleConnection() ? world.acceptedClient(true) : world.client();
+  blockingClient->send(clientRequest("first", "chat", "", kExpiresMs));
+  world.stall(kHoldUp);
+  blockingClient->send(clientRequest("second", "chat", "", kExpiresMs));
+  ASSERT_TRUE(world.served(*blockingClient, 2)) << blockingClient->got;
+  ASSERT_EQ(world.engines.begun.size(), 4u);
+  for (const auto& attempt : world.engines.begun) {
+    if (attempt.traceId != "first") continue;
+    EXPECT_LE(attempt.timeout, kExpiresMs * 1000 - kHoldUp + kTolerance);
+  }
+}
+
+// The counterpart: a request that arrives at the end of the hold-up keeps its time.
+TEST_P(HeldUpRouter, LeavesALateRequestItsTime) {
+  auto blockingClient = isIdleConnection() ? world.acceptedClient(true) : world.client();
+  world.stall(kHoldUp);
+  blockingClient->send(clientRequest("fresh", "chat", "", kExpiresMs));
+  ASSERT_TRUE(world.served(*blockingClient, 1)) << blockingClient->got;
+  ASSERT_EQ(world.engines.begun.size(), 2u);
+  EXPECT_GE(world.engines.begun.front().timeout, kExpiresMs * 1000 - kTolerance);
+}
+
 // A router at its connection limit checks for free capacity periodically; none of these checks may accept a
 // connection beyond the limit.
 TEST(FrontendRace, ARouterAtItsConnectionLimitAcceptsNobodyHoweverOftenItChecks) {
--- a/tests/path/hard_cases_test.cpp
+++ b/tests/path/hard_cases_test.cpp
@@ -109,6 +109,29 @@
   }
 }
 
+// Guards against counting a call's timeout from the moment of its read, which may be long after its arrival
+// if the process was stopped, had no core or was busy: the status came after the client's deadline.
+TEST(Path, ACallThatARouterReadsLateGetsItsStatusBeforeTheDeadline) {
+  constexpr Micros kTimeout = 800'000;
+  constexpr Micros kHoldUp = 400'000;
+  for (const bool isNewConnection : {true, false}) {
+    World world;
+    if (!isNewConnection) {
+      Reply first;
+      world.sendRequest(first);
+      ASSERT_TRUE(world.until([&] { return first.finalCount > 0; }));
+    }
+    world.forEachEngine("decode", [](auto& fakeEngine) { fakeEngine.faults.silent = true; });
+    Reply reply;
+    const Micros sendTime = world.loop.now();
+    world.sendRequest(reply, "p #m1", kTimeout);
+    world.stall(kHoldUp);
+    ASSERT_TRUE(world.until([&] { return reply.finalCount > 0; }));
+    EXPECT_TRUE(reply.statusFromServer);
+    EXPECT_LT(world.loop.now() - sendTime, kTimeout) << isNewConnection;
+  }
+}
+
 TEST(Path, AClientWithAZeroFlowControlWindowGetsItsStatusBeforeTheDeadline) {
   World world(R"({ "engines": [ { "name": "read", "kind": "prefill", "role": "reader" },
                             { "name": "write", "kind": "decode", "role": "writer", "token_ms": 1 } ] })");
