Refusals by engines no longer use up the attempts of a request in serve

Cause: attempts, not time, had run out. Failed runs have the same four attempts: prefill, decode refused by one full engine, refused by the other within 1 ms, then a decode that finds the KV state gone with its restarted engine. Four is the limit, so the second prefill never begins. The text and cause of the refusal (overloaded) were wrong.

Change: attempts that engines reject, which proves that nothing ran, do not count towards `attempts`, up to a bound (`refused_attempts`, by default as many). Every other failure counts, and back-offs stay. A request that used up its attempts is refused with the reason attempts-failed.

Why it works: in that order of events the two refusals and the lost state cost nothing, so prefill and decode follow within the limit.

--- a/src/policy/actions.h
+++ b/src/policy/actions.h
@@ -20,10 +20,16 @@
   RequestId id;     ///< The request.
   int attempt = 0;  ///< Number of the attempt, from 0.
 };
+/// Why the policy rejects a request.
+enum class RejectionReason {
+  overloaded,     ///< No endpoint is expected to respond in time.
+  noAttemptsLeft  ///< All attempts that the request may have were rejected or failed.
+};
 /// Reject a request; a retry by the client is harmless.
 struct Reject {
   RequestId id;           ///< The request.
   Micros retryAfter = 0;  ///< Delay after which the client should retry; 0: unknown.
+  RejectionReason reason = RejectionReason::overloaded;  ///< Why it is rejected.
 };
 /// Fail a request that was possibly executed.
 struct Fail {
--- a/src/policy/attempt_tracker.cpp
+++ b/src/policy/attempt_tracker.cpp
@@ -127,6 +127,8 @@
 // elsewhere.
 void AttemptTracker::handleRejection(TrackedRequest& request, Endpoint& endpoint,
                                      const InFlightAttempt& attempt, const AttemptEnded& event) {
+  if (request.uncountedRejections < collaborators_.settings.maxUncountedRejections)
+    ++request.uncountedRejections;
   if (event.reachedEndpoint) collaborators_.outliers.recordActivity(endpoint);
   collaborators_.outliers.invalidateOutages();
   if (event.kvStateMissing && request.kvStateAt) {
--- a/src/policy/attempt_tracker.h
+++ b/src/policy/attempt_tracker.h
@@ -24,6 +24,7 @@
   /// Dependencies of the tracker.
   struct Collaborators {
     const DecisionContext& context;    ///< Provides the current time.
+    const Settings& settings;          ///< Limits the rejections that do not count as attempts.
     EndpointRegistry& registry;        ///< Provides the endpoints.
     const AttemptTimeouts& timeouts;   ///< Detects stalled attempts.
     PrefillCostModel& costModel;       ///< Receives prefill durations.
--- a/src/policy/request_state.h
+++ b/src/policy/request_state.h
@@ -91,7 +91,8 @@
   RequestClass requestClass;                        ///< Objectives and retry rules of its class.
   Micros objectiveAt = 0;                           ///< When the first token is due by the TTFT objective.
   Micros deadline = 0;                              ///< When the client gives up.
-  int attempts = 0;                                 ///< Attempts sent so far.
+  int attempts = 0;                                 ///< Attempts sent so far ...
+  int uncountedRejections = 0;                      ///< ... and those of them that do not count as such.
   std::optional<InFlightAttempt> attempt;           ///< The attempt in flight, if any.
   std::vector<EndpointId> affinityEndpoints;        ///< Endpoints that its prefix hashes to.
   std::optional<EndpointEntry> kvStateAt;           ///< Endpoint that holds its KV state, after a prefill.
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -5,8 +5,16 @@
 namespace garnethook::policy {
 
 bool RetryPolicy::mayAttempt(const TrackedRequest& request) const {
-  return collaborators_.context.now() < request.deadline &&
-         request.attempts < collaborators_.settings.maxAttempts && isRetrySafe(request);
+  return collaborators_.context.now() < request.deadline && !hasUsedAllAttempts(request) &&
+         isRetrySafe(request);
+}
+
+bool RetryPolicy::hasUsedAllAttempts(const TrackedRequest& request) const {
+  return attemptsLeft(request) <= 0;
+}
+
+int RetryPolicy::attemptsLeft(const TrackedRequest& request) const {
+  return collaborators_.settings.maxAttempts - (request.attempts - request.uncountedRejections);
 }
 
 bool RetryPolicy::isRetrySafe(const TrackedRequest& request) const {
@@ -42,7 +50,7 @@
   const EstimatedTime remainingTime = toEstimate(request.deadline - collaborators_.context.now());
   const EstimatedTime spare =
       remainingTime - attempt.predictedTime - collaborators_.firstTokens.baselineTime();
-  const bool isLast = request.attempts + 1 >= collaborators_.settings.maxAttempts;
+  const bool isLast = attemptsLeft(request) <= 1;
   const EstimatedTime limit =
       isLast ? remainingTime
              : std::min(collaborators_.timeouts.usualTimeout(attempt), std::max(spare, remainingTime / 2));
--- a/src/policy/retry_policy.h
+++ b/src/policy/retry_policy.h
@@ -25,6 +25,9 @@
 
   /// Whether the deadline, the number of attempts and the idempotency of the request allow another attempt.
   bool mayAttempt(const TrackedRequest& request) const;
+  /// Whether the request has had as many attempts as it may have. An attempt that its endpoint rejected,
+  /// which proves that nothing ran, does not count, up to a limit.
+  bool hasUsedAllAttempts(const TrackedRequest& request) const;
   /// Whether an attempt may be sent to the endpoint: once possibly executed, a request that is not idempotent
   /// must stay within its deduplication scope.
   static bool isInScope(const TrackedRequest& request, const Endpoint& endpoint);
@@ -36,6 +39,7 @@
 
  private:
   bool isRetrySafe(const TrackedRequest& request) const;
+  int attemptsLeft(const TrackedRequest& request) const;
 
   Collaborators collaborators_;
 };
--- a/src/policy/routing_policy.cpp
+++ b/src/policy/routing_policy.cpp
@@ -288,7 +288,9 @@
 
   void rejectOrFail(TrackedRequest& request) {
     if (!RetryPolicy::mayReject(request)) return fail(request);
-    context_.emit(Reject{request.arrival.id, admission_.retryAfter(request)});
+    const auto reason = retryPolicy_.hasUsedAllAttempts(request) ? RejectionReason::noAttemptsLeft
+                                                                 : RejectionReason::overloaded;
+    context_.emit(Reject{request.arrival.id, admission_.retryAfter(request), reason});
     finish(request);
   }
 
@@ -378,8 +380,9 @@
                                  smallestObjective_};
   KvHoldPolicy kvHold_{context_, settings_, smallestObjective_};
   CombinedShare combinedShare_{{context_, registry_, firstTokens_, prefillSelector_, prefills_, queues_}};
-  AttemptTracker attemptTracker_{{context_, registry_, timeouts_, costModel_, prefixes_, affinity_, speeds_,
-                                  queues_, firstTokens_, memory_, rejections_, outliers_, slowStart_}};
+  AttemptTracker attemptTracker_{{context_, settings_, registry_, timeouts_, costModel_, prefixes_, affinity_,
+                                  speeds_, queues_, firstTokens_, memory_, rejections_, outliers_,
+                                  slowStart_}};
 };
 
 RoutingPolicy::RoutingPolicy(const Settings& settings, std::uint64_t seed)
--- a/src/policy/settings.h
+++ b/src/policy/settings.h
@@ -67,7 +67,8 @@
   std::size_t routers = 1;                ///< Number of routers that share the endpoints.
   std::optional<std::size_t> self;        ///< Index of this router among them, from 0; none: unknown.
   Discovery discovery = Discovery::push;  ///< How the endpoint list is delivered.
-  int maxAttempts = 1;                    ///< Largest number of attempts per request.
+  int maxAttempts = 1;                    ///< Largest number of attempts per request ...
+  int maxUncountedRejections = 0;         ///< ... not counting so many that endpoints rejected.
   bool canCancel = false;                 ///< Whether attempts may be cancelled.
   bool canProbe = false;                  ///< Whether endpoints may be probed.
   bool decodeEndpointsPrefill = false;    ///< Whether decode endpoints compute missing KV state themselves.
--- a/src/policy/settings_validation.cpp
+++ b/src/policy/settings_validation.cpp
@@ -24,6 +24,7 @@
   require(settings.routers >= 1, "routers: at least 1");
   require(settings.ownZone < settings.zones, "ownZone: not among the zones");
   require(settings.maxAttempts >= 1, "maxAttempts: at least 1");
+  require(settings.maxUncountedRejections >= 0, "maxUncountedRejections: not negative");
   require(settings.kvReleaseTimeout >= 0, "kvReleaseTimeout (releaseWithin): negative");
   require(settings.maxRetryAfter >= 0, "maxRetryAfter: negative");
   require(settings.warmUpMinCapacity >= 0 && settings.warmUpMinCapacity <= 1,
--- a/src/routing/completion_builder.cpp
+++ b/src/routing/completion_builder.cpp
@@ -35,15 +35,18 @@
           .text = "the deadline has passed"};
 }
 
-Completion policyRejection(const ActiveRequest& active, bool isPastDeadline, bool hasRunningEndpoints,
-                           Micros retryAfter) {
-  Completion completion{.disposition = Disposition::rejected, .retryAfter = retryAfter};
+Completion policyRejection(const ActiveRequest& active, const Reject& reject, bool isPastDeadline,
+                           bool hasRunningEndpoints) {
+  Completion completion{.disposition = Disposition::rejected, .retryAfter = reject.retryAfter};
   if (isPastDeadline) {
     completion.failureReason = FailureReason::deadline;
     completion.text = "no answer before the deadline; a repeat does no harm";
   } else if (!hasRunningEndpoints) {
     completion.failureReason = FailureReason::noEndpoint;
     completion.text = "no engine is listed";
+  } else if (reject.reason == RejectionReason::noAttemptsLeft) {
+    completion.failureReason = FailureReason::attemptsFailed;
+    completion.text = "all attempts were refused or failed; a repeat does no harm";
   } else {
     completion.failureReason = FailureReason::overloaded;
     completion.text = "no engine would answer in time";
--- a/src/routing/completion_builder.h
+++ b/src/routing/completion_builder.h
@@ -15,8 +15,8 @@
 /// Rejection because the deadline had passed when the request arrived.
 Completion expiredOnArrivalCompletion();
 /// Rejection by the policy. `hasRunningEndpoints`: whether any endpoint is listed as running.
-Completion policyRejection(const ActiveRequest& active, bool isPastDeadline, bool hasRunningEndpoints,
-                           Micros retryAfter);
+Completion policyRejection(const ActiveRequest& active, const Reject& reject, bool isPastDeadline,
+                           bool hasRunningEndpoints);
 /// Failure by decision of the policy.
 Completion policyFailure(const ActiveRequest& active, bool isPastDeadline);
 /// Failure because the engine reported that the request is invalid; `text`: the engine's message.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -178,8 +178,8 @@
     rules_.report(Violation::rejectionAfterExecution, *active);
     return execute(Fail{reject.id});
   }
-  completer_.complete(
-      *active, policyRejection(*active, isPastDeadline(*active), endpoints_.hasRunning(), reject.retryAfter));
+  completer_.complete(*active,
+                      policyRejection(*active, reject, isPastDeadline(*active), endpoints_.hasRunning()));
 }
 
 void Router::execute(const Fail& fail) {
--- a/src/server/settings.cpp
+++ b/src/server/settings.cpp
@@ -109,6 +109,8 @@
 
   policySettings.routers = static_cast<std::size_t>(root.integer("routers", 1, 1, 100'000));
   policySettings.maxAttempts = static_cast<int>(root.integer("attempts", 4, 1, 100));
+  policySettings.maxUncountedRejections =
+      static_cast<int>(root.integer("refused_attempts", policySettings.maxAttempts, 0, 100));
   policySettings.decodeEndpointsPrefill = root.flag("writers_read", false);
   result.routing.maxPendingRequests =
       static_cast<std::size_t>(root.integer("open_requests", 20'000, 1, 10'000'000));
--- a/tests/policy/admission_test.cpp
+++ b/tests/policy/admission_test.cpp
@@ -159,7 +159,49 @@
   driver.setEndpoints({endpoint(1, kPrefill), endpoint(2, kPrefill), endpoint(11, kDecode)});
   driver.deliver(driver.newRequest(1));
   EXPECT_EQ(rejection(driver.endAttempt(1, Outcome::connectFailed)), nullptr);
-  EXPECT_NE(rejection(driver.endAttempt(1, Outcome::connectFailed)), nullptr);
+  const auto actions = driver.endAttempt(1, Outcome::connectFailed);
+  ASSERT_NE(rejection(actions), nullptr);
+  EXPECT_EQ(rejection(actions)->reason, RejectionReason::noAttemptsLeft);
+}
+
+// Guards against a request running out of attempts at full decode endpoints: when its KV state was lost
+// meanwhile, none was left to prefill it again.
+TEST(Admission, PrefillsALostKvStateAgainAfterFullDecodeEndpointsRejectedTheRequest) {
+  Settings customSettings = settings();
+  customSettings.maxUncountedRejections = 4;
+  PolicyDriver driver(customSettings);
+  driver.setEndpoints(
+      {endpoint(1, kPrefill), endpoint(2, kPrefill), endpoint(11, kDecode), endpoint(12, kDecode)});
+  driver.deliver(driver.newRequest(1));
+  driver.endAttempt(1, Outcome::prefillDone);
+  driver.endAttempt(1, Outcome::rejected);
+  driver.endAttempt(1, Outcome::rejected);
+  driver.advanceTime(200 * kMs);
+  ASSERT_EQ(driver.count<Send>(1), 4);
+  driver.endAttempt(1, Outcome::rejected, 0, true);
+  ASSERT_EQ(driver.count<Send>(1), 5);
+  EXPECT_LE(driver.lastEndpoint(1), 2u);
+  driver.endAttempt(1, Outcome::prefillDone);
+  EXPECT_GE(driver.lastEndpoint(1), 11u);
+  EXPECT_EQ(driver.count<Reject>(1), 0);
+}
+
+// Rejections must not be repeated without end either.
+TEST(Admission, CountsFurtherRejectionsAndAllOtherFailuresAsAttempts) {
+  constexpr int kUncounted = 2;
+  for (const Outcome outcome : {Outcome::rejected, Outcome::connectFailed}) {
+    Settings customSettings = settings();
+    customSettings.maxAttempts = 3;
+    customSettings.maxUncountedRejections = kUncounted;
+    PolicyDriver driver(customSettings);
+    std::vector<EndpointEntry> entries{endpoint(11, kDecode)};
+    for (std::uint64_t id = 1; id <= 9; ++id) entries.push_back(endpoint(id, kPrefill));
+    driver.setEndpoints(entries);
+    driver.deliver(driver.newRequest(1));
+    for (int i = 0; i < 9 && driver.count<Reject>(1) == 0; ++i) driver.endAttempt(1, outcome);
+    EXPECT_EQ(driver.count<Send>(1), 3 + (outcome == Outcome::rejected ? kUncounted : 0));
+    EXPECT_EQ(driver.count<Reject>(1), 1);
+  }
 }
 
 }  // namespace
