A listener that closes accepts the connections whose handshakes have begun

`serve` dropped connections unread that waited in the accept queue as it drained.

Cause: the filter that kept new connections out while the accept queue was emptied dropped every packet, so also the last one of handshakes that had begun; and the listener closed as soon as its queue was empty, which is not the end of those handshakes.

Change: only packets that begin a handshake are dropped, and the listener accepts for another 100 ms, a round trip, before it closes. The frontend closes unused connections once more when it has closed; serve waits for it and serves what it accepted. Test peers that stop listening do so at once (Listener::abort).

Why it works: no handshake begins after the filter, and those before it have a round trip to reach the queue.

--- a/src/fake_engine/http_server.cpp
+++ b/src/fake_engine/http_server.cpp
@@ -173,7 +173,7 @@
 HttpServer::~HttpServer() { shutDown(); }
 
 void HttpServer::shutDown() {
-  if (listener_) listener_->close();
+  if (listener_) listener_->abort();
   const auto connections = connections_;
   for (const auto& [connection, shared] : connections) shared->end(true);
 }
--- a/src/grpc_frontend/grpc_server.cpp
+++ b/src/grpc_frontend/grpc_server.cpp
@@ -286,7 +286,7 @@
 GrpcServer::~GrpcServer() = default;
 
 void GrpcServer::accept(const Poco::Net::StreamSocket& socket) {
-  if (draining_ || connections_.size() >= options_.maxConnections)
+  if (connections_.size() >= options_.maxConnections)
     return;  // the socket is closed when it goes out of scope
   auto connection = std::make_shared<Connection>(*this, socket, listener_.earliestConnect());
   connections_[connection.get()] = connection;
@@ -302,8 +302,9 @@
 
 void GrpcServer::drain() {
   draining_ = true;
-  listener_.close();
+  // Those that the listener accepts while it closes serve what their clients have already sent.
   const auto openConnections = connections_;
+  listener_.close();
   for (const auto& [key, shared] : openConnections) shared->drain();
 }
 
--- a/src/grpc_frontend/grpc_server.h
+++ b/src/grpc_frontend/grpc_server.h
@@ -41,12 +41,15 @@
 
   /// Address of the listening socket.
   Poco::Net::SocketAddress address() const { return listener_.address(); }
-  /// Stops accepting connections and streams; open calls may finish.
+  /// Stops accepting connections, but for those whose handshakes have begun, and streams on the connections
+  /// that are open now; open calls may finish.
   void drain();
   /// Replaces the decoder options after a reload; requests that are already decoded are unaffected.
   void setRequestDecoderOptions(const RequestDecoderOptions& decoderOptions) {
     decoderOptions_ = decoderOptions;
   }
+  /// Whether connections are still accepted.
+  bool accepting() const { return listener_.open(); }
   /// Number of open connections.
   std::size_t connections() const { return connections_.size(); }
   /// Number of open streams on all connections.
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -12,9 +12,12 @@
 namespace garnethook::net {
 namespace {
 
-constexpr int kBacklog = 1024;             // connections that the kernel queues
-constexpr int kAcceptsPerTurn = 64;        // further connections are accepted in the next turn of the loop
+constexpr int kBacklog = 1024;       // connections that the kernel queues
+constexpr int kAcceptsPerTurn = 64;  // further connections are accepted in the next turn of the loop
+// Time for handshakes to end that have begun when the listener closes: a round trip to a distant client.
+constexpr Micros kHandshakeTimeout = 100'000;
 constexpr Micros kCloseTimeout = 500'000;  // limit for emptying the accept queue while the listener closes
+constexpr Micros kClosingAcceptInterval = 2'000;
 // The address may still be in use for a short time, typically by the previous process.
 constexpr int kListenAttempts = 100;
 constexpr std::chrono::milliseconds kListenRetryDelay{20};
@@ -73,21 +76,30 @@
   retryAlarm_.start(0, [this] { onReadable(); });
 }
 
-void Listener::close() {
+// The kernel resets connections that are in the accept queue, or still in their handshake, when the socket is
+// closed. Therefore no further handshakes begin, and those that have begun get the time to end.
+void Listener::close(std::function<void()> closed) {
   if (!isOpen_ || std::exchange(isClosing_, true)) return;
+  closed_ = std::move(closed);
+  closingSince_ = loop_.now();
   setWatching(false);
-  // Without this, a connection that arrives between the last check of the queue and the close of the socket
-  // would be reset.
-  dropNewConnections(socket_.impl()->sockfd());
-  closeWhenQueueIsEmpty(loop_.now() + kCloseTimeout);
+  dropNewHandshakes(socket_.impl()->sockfd());
+  acceptUntilClosed();
 }
 
-void Listener::closeWhenQueueIsEmpty(Micros deadline) {
-  if (acceptQueued(kBacklog) || loop_.now() >= deadline) return closeSocket();
-  retryDelay_ = nextRetryDelay(retryDelay_);
-  retryAlarm_.start(retryDelay_, [this, deadline] { closeWhenQueueIsEmpty(deadline); });
+void Listener::acceptUntilClosed() {
+  acceptQueued(kBacklog);
+  const Micros elapsed = loop_.now() - closingSince_;
+  const bool isQueueEmpty = !backlogSince_;
+  if ((isQueueEmpty && elapsed >= kHandshakeTimeout) || elapsed >= kCloseTimeout) {
+    closeSocket();
+    return closed_();
+  }
+  retryAlarm_.start(kClosingAcceptInterval, [this] { acceptUntilClosed(); });
 }
 
+void Listener::abort() { closeSocket(); }
+
 void Listener::closeSocket() {
   if (!isOpen_) return;
   setWatching(false);
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -31,10 +31,13 @@
   Listener& operator=(const Listener&) = delete;
   /// The address that the listener is bound to, with the actual port.
   const Poco::Net::SocketAddress& address() const { return address_; }
-  /// Accepts the connections in the kernel's accept queue, since their requests may already have been sent;
-  /// then stops accepting and releases the port. If the system lacks a descriptor for one of them, accepting
-  /// is retried for half a second.
-  void close();
+  /// Accepts the connections in the kernel's accept queue, since their requests may already have been sent,
+  /// and for a short time those whose handshakes have begun; then stops accepting and releases the port. If
+  /// the system lacks a descriptor for one of them, accepting is retried for half a second.
+  /// @param closed called once the port is released, unless the listener is destroyed or aborted before
+  void close(std::function<void()> closed = [] {});
+  /// Stops accepting and releases the port at once; the kernel resets the connections that were not accepted.
+  void abort();
   /// Earliest time at which the connection that is being accepted may have been established.
   Micros earliestConnect() const { return backlogSince_.value_or(loop_.earliestArrival()); }
   /// Whether the listener may still accept connections.
@@ -52,7 +55,7 @@
   void setWatching(bool on);
   bool acceptQueued(int maxConnections);
   void pauseForLackOfResources();
-  void closeWhenQueueIsEmpty(Micros deadline);
+  void acceptUntilClosed();
   void closeSocket();
 
   Loop& loop_;
@@ -62,6 +65,8 @@
   SocketWatch watch_;
   timing::Alarm retryAlarm_;
   Micros retryDelay_ = 0;
+  Micros closingSince_ = 0;
+  std::function<void()> closed_;
   // Since when connections may have been waiting in the kernel's accept queue; none if it was found empty.
   std::optional<Micros> backlogSince_;
   bool isPaused_ = true;
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 
 namespace garnethook::net {
@@ -108,9 +109,21 @@
   }
 }
 
-void dropNewConnections(int listener) {
-  sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
-  const sock_fprog program{.len = 1, .filter = &dropAll};
+void dropNewHandshakes(int listener) {
+  // The filter sees the packet from its TCP header on, and returns how many bytes of it to keep.
+  constexpr unsigned kFlagsOffset = 13;
+  constexpr unsigned kSyn = 0x02;
+  constexpr unsigned kAck = 0x10;
+  constexpr unsigned kDropPacket = 0;
+  constexpr unsigned kKeepPacket = 0xffffffff;
+  std::array<sock_filter, 5> instructions{{
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+      BPF_STMT(BPF_ALU | BPF_AND | BPF_K, kSyn | kAck),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, kSyn, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, kDropPacket),
+      BPF_STMT(BPF_RET | BPF_K, kKeepPacket),
+  }};
+  const sock_fprog program{.len = instructions.size(), .filter = instructions.data()};
   for (int i = 0; i < kMaxRetries; ++i)
     if (::setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) == 0) return;
 }
--- a/src/net/system_calls.h
+++ b/src/net/system_calls.h
@@ -71,9 +71,10 @@
 };
 /// Accepts the oldest queued connection.
 AcceptResult acceptConnection(int listener);
-/// Makes the kernel drop all further packets for this listener without an answer, so that no connection joins
-/// the accept queue any more and it can be emptied. No effect on systems without socket filters.
-void dropNewConnections(int listener);
+/// Makes the kernel drop, without an answer, each packet to this listener that would begin a handshake.
+/// Handshakes that have begun continue, so connections may join the accept queue for one more round trip. No
+/// effect on systems without socket filters.
+void dropNewHandshakes(int listener);
 
 /// Outcome of starting to connect.
 enum class Connect {
--- a/src/platform/http_frontend/http_frontend.cpp
+++ b/src/platform/http_frontend/http_frontend.cpp
@@ -123,7 +123,7 @@
 void HttpFrontend::close() {
   isDraining_ = true;
   rejectsRequests_ = true;
-  listener_.close();
+  listener_.close([this] { drainConnections(true); });  // with those accepted in the meantime
   drainConnections(true);
 }
 
--- a/src/server/router_server.cpp
+++ b/src/server/router_server.cpp
@@ -197,7 +197,7 @@
 void RouterServer::checkDrained() {
   if (loop_.now() >= drainDeadline_) router_->stop();
   const bool isIdle =
-      router_->pendingRequests() == 0 && counts_.open() == 0 &&
+      !frontend_->accepting() && router_->pendingRequests() == 0 && counts_.open() == 0 &&
       router_->kvReservations().reservationCount() + router_->kvReservations().pendingReleaseCount() == 0;
   const bool hasTimedOut = loop_.now() >= drainDeadline_ + settings_.engine.controlTimeout * 2;
   if (!isIdle && !hasTimedOut) return drainAlarm_.start(20'000, [this] { checkDrained(); });
--- a/tests/path/hard_cases_test.cpp
+++ b/tests/path/hard_cases_test.cpp
@@ -360,6 +360,21 @@
   EXPECT_EQ(reply.status->code, Code::ok);
 }
 
+// Guards against dropping connections that the system has taken when the drain begins.
+TEST(Path, ACallOnAConnectionThatWaitsToBeAcceptedIsServedWhenTheRouterDrains) {
+  World world;
+  client::Channel channel(world.loop, world.router->address(), {});
+  Reply reply;
+  v1::GenerateRequest request;
+  request.set_prompt("p #m1");
+  channel.call("/garnethook.v1.Generation/Generate", request.SerializeAsString(), 2'000'000, reply);
+  bool drained = false;
+  world.router->drain([&] { drained = true; });
+  ASSERT_TRUE(world.until([&] { return reply.finalCount > 0; }, 2'000'000));
+  EXPECT_EQ(reply.status->code, Code::ok) << reply.status->message;
+  EXPECT_TRUE(world.until([&] { return drained; }, 2'000'000));
+}
+
 TEST(Path, TheSigtermDrainGivesEveryRequestItsFinalStatus) {
   World world(kSplitFleet, R"(, "stop_within_ms": 300)");
   world.forEachEngine("decode", [](auto& fakeEngine) { fakeEngine.faults.stallAfter = 3; });
--- a/tests/support/platform_peers.h
+++ b/tests/support/platform_peers.h
@@ -34,7 +34,7 @@
           connections_.push_back(std::make_unique<Connection>(*this, std::move(socket), connections_.size()));
         }) {}
   std::string address() const { return listener_.address().toString(); }
-  void stopListening() { listener_.close(); }
+  void stopListening() { listener_.abort(); }
   std::size_t gone() const { return gone_; }
   std::size_t count(std::string_view method) const {
     return static_cast<std::size_t>(std::count_if(
