Soak's oracle: an attempt whose answer the network delays is open until it arrives

Trace: the prefill ended at 7,922 ms, while the fault `held` (7,913 to 10,086 ms) kept the network from passing anything on; the connection stayed open, the router got the answer as the fault ended and its decode began 11 ms later. The oracle counted such an answer as given at 7,922 ms, as it knew only connections that close. The rule allows the case: the attempt was out.

Change: with the fault active as the attempt ends and no close of its connection, the attempt is open until the fault ends, and no longer.

--- a/tests/soak/oracle.cpp
+++ b/tests/soak/oracle.cpp
@@ -408,8 +408,10 @@
   }
 
   // Returns when the router can stop waiting for the attempt. Where the network lost the engine's answer,
-  // the router waits until the connection closes.
+  // the router waits until the connection closes; where it delays the answer, until it arrives.
   Micros openUntil(const Attempt& attempt) const {
+    const Fault* delay = plan_.findActive("held", attempt.engine, attempt.endedAt);
+    if (delay != nullptr && attempt.closedAt == 0 && !attempt.isSilenced) return plan_.start + delay->until;
     return attempt.isSilenced || hasSilencingFault(attempt.engine, attempt.endedAt, attempt.endedAt)
                ? std::max(attempt.endedAt, attempt.closedAt)
                : attempt.endedAt;
--- a/tests/soak/oracle_test.cpp
+++ b/tests/soak/oracle_test.cpp
@@ -132,6 +132,20 @@
   EXPECT_EQ(violatedRules(), Rules{"too little served"});
 }
 
+// An answer that the network delays keeps the attempt open, but for no longer than the delay.
+TEST_F(OracleTest, KvStateIsDueOnceTheDelayedAnswerOfItsPrefillHasArrived) {
+  plan.plannedFaults.push_back({"held", "e0", 1020 * kMillisecond, 2500 * kMillisecond});
+  sent("chat", "fresh=1 deadline=4000");
+  begin(1010, "e0", "1");
+  end(1030, "e0", "1", "read");
+  logEvent(4000, "final id=q status=429");
+  EXPECT_EQ(violatedRules(), (Rules{"held", "too little served"}));
+  logEvent(3500, "release engine=e0 id=q");
+  EXPECT_EQ(violatedRules(), (Rules{"held", "too little served"}));
+  logEvent(3300, "release engine=e0 id=q");
+  EXPECT_EQ(violatedRules(), Rules{"too little served"});
+}
+
 TEST_F(OracleTest, ReleaseBeforeAnAbandonedPrefillLeavesItsStateDoesNotCount) {
   sent();
   begin(1010, "e0", "1");
