Soak's oracle: a connection may fall silent before the engine has logged the begin of its attempt

Trace: the network forwarded the request, fell silent at 9,898.7 ms (fault `deaf all`), and the engine logged the begin at 9,898.8 ms. The engine's answer never came, the router waited to the request's deadline, closed at 11,400.6 ms and released 0.2 ms later. The oracle looked for the attempt of a silenced connection when it fell silent and found none yet, so it took the answer for given. The rule allows the case: the attempt was out until the router closed it.

Change: an attempt that begins on a connection that has fallen silent counts as silenced, like one that began 0.1 ms earlier.

Measured: the new test of the oracle fails before; it still wants the release in time after the close.

--- a/tests/soak/oracle.cpp
+++ b/tests/soak/oracle.cpp
@@ -97,6 +97,7 @@
       openAttempt.expiresMs = event.number("expires");
       openAttempt.isDelivered =
           event.at - delayedDeliveryAt_[openAttempt.engine + ":" + openAttempt.port] > kPeerSlack;
+      openAttempt.isSilenced = silencedConnections_.contains(openAttempt.engine + ":" + openAttempt.port);
       requests_[id].attempts.push_back(openAttempt);
       openAttempts_[openAttempt.engine + ":" + openAttempt.port] = {id, requests_[id].attempts.size() - 1};
     } else if (event.kind == "end") {
@@ -104,12 +105,15 @@
     } else if (event.kind == "late") {
       delayedDeliveryAt_[event.text("engine") + ":" + event.text("port")] = event.at;
     } else if (event.kind == "fetched" || event.kind == "silenced") {
+      if (event.kind == "silenced")
+        silencedConnections_.insert(event.text("engine") + ":" + event.text("port"));
       const auto found = openAttempts_.find(event.text("engine") + ":" + event.text("port"));
       if (found == openAttempts_.end()) return;
       Attempt& openAttempt = requests_[found->second.first].attempts[found->second.second];
       if (event.kind == "fetched") openAttempt.fetchedAt = event.at;
       if (event.kind == "silenced" && openAttempt.endedAt == 0) openAttempt.isSilenced = true;
     } else if (event.kind == "link") {
+      silencedConnections_.erase(event.text("engine") + ":" + event.text("port"));
       routerByConnection_[event.text("engine") + ":" + event.text("port")] = event.text("router");
     } else if (event.kind == "closed") {
       endAttempt(event.text("engine") + ":" + event.text("port"), event.at, "", event.text("by"));
@@ -501,6 +505,7 @@
   std::vector<LoggedEvent> events_;
   std::map<std::string, Request> requests_;
   std::map<std::string, std::string> routerByConnection_;
+  std::set<std::string> silencedConnections_;        // of which the network forwards nothing any more
   std::map<std::string, Micros> delayedDeliveryAt_;  // by connection: when the network delivered delayed data
   std::map<std::string, std::pair<std::string, std::size_t>> openAttempts_;
   std::map<std::pair<std::string, std::string>, Micros> drainReportedAt_;
--- a/tests/soak/oracle_test.cpp
+++ b/tests/soak/oracle_test.cpp
@@ -146,6 +146,19 @@
   EXPECT_EQ(violatedRules(), Rules{"too little served"});
 }
 
+// The network forwards a request and falls silent before the engine has logged its begin.
+TEST_F(OracleTest, AttemptOnAConnectionSilencedBeforeItsBeginIsOpenUntilTheRouterClosesIt) {
+  sent();
+  logEvent(1010, "silenced engine=e0 port=1");
+  begin(1011, "e0", "1");
+  end(1030, "e0", "1", "read");
+  logEvent(2500, "closed engine=e0 port=1 by=router");
+  logEvent(2500, "final id=q status=429");
+  EXPECT_EQ(violatedRules(), (Rules{"held", "too little served"}));
+  logEvent(2600, "release engine=e0 id=q");
+  EXPECT_EQ(violatedRules(), Rules{"too little served"});
+}
+
 TEST_F(OracleTest, ReleaseBeforeAnAbandonedPrefillLeavesItsStateDoesNotCount) {
   sent();
   begin(1010, "e0", "1");
