--- a/review/standins.py
+++ b/review/standins.py
@@ -4,6 +4,7 @@
 and nothing else. Only Python's standard library is used.
 """
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -20,6 +21,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+LOAD_REPORT = b"TEXT latency_ms=100, x0=0.1, x1=0"
 
 
 def now_ms():
@@ -159,7 +161,7 @@
 class Engine:
     """A reader ("prefill") or writer ("decode") on a loopback port."""
 
-    def __init__(self, name, flavor, fleet, record, cell=1, zone="a", up_since_ms=0):
+    def __init__(self, name, flavor, fleet, record, cell=1, zone="hall-a", up_since_ms=0):
         self.name, self.flavor, self.fleet, self.record = name, flavor, fleet, record
         self.cell, self.zone, self.up_since_ms = cell, zone, up_since_ms
         self.phase = "ready"
@@ -219,8 +221,12 @@
             self.fleet.release(target.rsplit("/", 1)[1], self)
             writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
             return True
-        if method == "GET":
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        if method == "POST" and target.startswith("/v1/holds/"):  # not held, and no obligation to hold
+            writer.write(b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")
+            return True
+        if method == "GET" and target in ("/-/healthy", "/-/load"):
+            body = LOAD_REPORT if target == "/-/load" else b""
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             return True
         if method != "POST" or not target.startswith("/v1/chat/completions"):
             writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
@@ -260,8 +266,8 @@
         if ended := await self.work(self.read_s, reader, writer):
             return ended
         body = b'{"cached_tokens":0}'
-        writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                     % len(body) + body)
+        writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\nEndpoint-Load-Metrics: %s\r\n"
+                     b"Content-Length: %d\r\n\r\n" % (LOAD_REPORT, len(body)) + body)
         self.fleet.states.append(State(attempt.trace, self, self.record.at()))
         self.record.write("state-held", id=attempt.trace, engine=self.name)
         return "read"
@@ -345,17 +351,18 @@
 def settings(**extra):
     """Settings of a small deployment, with the figures of rennes-prod."""
     result = {
-        "az": "a", "zones": ["a"], "skus": ["prefill", "decode"], "balancers": 1, "me": 0, "discovery": "push",
+        "az": "hall-a", "zones": ["hall-a", "hall-b"], "skus": ["prefill", "decode"], "balancers": 1, "me": 0,
+        "discovery": "push",
         "family": "twostage", "weights": "nominal", "worthBy": "work",
         "allowed": {"attemptsCap": 6, "mayCancel": True, "probes": True, "peers": False, "secondCopies": False,
                     "connIdleMs": 15000.0, "dialTimeoutMs": 250.0, "retryAfter": True, "maxRetryAfterMs": 500.0,
                     "streamsPerConn": 32},
         "familyInfo": {"kindRole": ["read", "write"], "memoryTokens": [240000, 150000], "releaseWithinMs": 500.0,
                        "aimUsPer1000PromptTokens": [60000.0, 40000.0], "tokenAimMs": [50.0, 70.0],
-                       "holdsAllowed": False, "selfPrefill": False, "resume": False,
+                       "holdsAllowed": True, "selfPrefill": False, "resume": False,
                        "reportX0": "share of memory that is held",
                        "reportX1": "thousands of prompt tokens waiting to be read or fetched"},
-        "loadInfo": {"how": "silent", "names": []},
+        "loadInfo": {"how": "piggyback", "names": ["latency_ms", "x0", "x1"]},
         "profiles": [
             {"name": "lookup", "aimMs": 800.0, "deadlineMs": 3000.0, "effect": "read_like", "worth": 1.0,
              "lateShare": 0.1, "group": "all", "windowMs": 5000.0, "streaming": True},
@@ -367,6 +374,11 @@
     return result
 
 
+def die_with_parent():
+    """In the child: a test that is ended leaves no router behind, however it was ended."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG; kept across exec
+
+
 class Router:
     """`garnethook run`, started by the `run` line of the deploy file from the repository's root."""
 
@@ -394,7 +406,7 @@
         self.log = open(os.path.join(self.folder, "log.txt"), "wb")
         self.process = await asyncio.create_subprocess_exec("/bin/sh", "-c", command, cwd=ROOT, env=environment,
                                                             stdin=asyncio.subprocess.DEVNULL, stdout=self.log,
-                                                            stderr=self.log, start_new_session=True)
+                                                            stderr=self.log, preexec_fn=die_with_parent)
         for _ in range(150):
             if await self.is_ready():
                 self.record.write("router-ready")
@@ -469,13 +481,19 @@
     return status, fields, body, True
 
 
-def play(folder, case, limit_s=100):
+def play(folder, case, limit_s=90):
     """Runs `case(record)` and exits with its verdict."""
     record = Record(folder)
 
     async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):  # an ended test ends its router, and has judged nothing
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(case(record), limit_s)
+        except asyncio.CancelledError:
+            record.write("could-not-run", why="ended_from_outside")
+            return NOT_RUN
         except CannotRun as error:
             record.write("could-not-run", why=str(error).replace(" ", "_"))
             print("could not run:", error)
