Log a restart of an engine with the KV reservations that it drops, and count them

Need: engines kept KV state for good after a restart that was told late, and neither the log at its usual level nor the status line could tell a reservation that was dropped from a release that failed, or a restart that took place from one that was only inferred.

--- a/src/platform/process/router_logger.cpp
+++ b/src/platform/process/router_logger.cpp
@@ -54,7 +54,10 @@
 }
 
 void RouterLogger::logEndpointList(const EndpointListChange& change, const EndpointList& list) {
-  for (const auto& [name, endpoint] : change.entries) endpointNames_[endpoint.id.value] = name;
+  for (const auto& [name, endpoint] : change.entries) {
+    endpointNames_[endpoint.id.value] = name;
+    reportedStarts_[endpoint.id.value] = endpoint.startedAt;
+  }
   log_.info("endpoint-list", {{"version", list.version()},
                               {"endpoints", list.endpoints().size()},
                               {"stale_copy", change.kind == EndpointUpdate::Kind::staleCopy},
@@ -154,6 +157,15 @@
                                 {"call", event.callNumber}});
 }
 
+void RouterLogger::onEndpointRestarted(const routing::EndpointRestartEvent& event) {
+  log_.info("engine-restarted",
+            {{"engine", endpointName(event.endpoint)},
+             {"reported_start_ms", reportedStarts_[event.endpoint.value].sinceEpoch / kMicrosPerMillisecond},
+             {"start_age_ms", event.startAge / kMicrosPerMillisecond},
+             {"previous_start_age_ms", event.previousStartAge / kMicrosPerMillisecond},
+             {"kv_forgotten", event.forgottenReservations}});
+}
+
 void RouterLogger::onActionFailed(const std::string& what) { log_.error("internal", {{"error", what}}); }
 
 void RouterLogger::onPolicyLog(const std::string& text) {
--- a/src/platform/process/router_logger.h
+++ b/src/platform/process/router_logger.h
@@ -60,10 +60,12 @@
   void onRelease(const routing::ReleaseCall& call, std::string_view traceId) override;
   void onReleaseEnded(const routing::ReleaseCall& call, bool ok) override;
   void onKvReservation(const routing::KvReservationEvent& event) override;
+  void onEndpointRestarted(const routing::EndpointRestartEvent& event) override;
 
   log::Log log_;
   std::vector<std::string> classNames_;
   std::map<std::uint64_t, std::string> endpointNames_;
+  std::map<std::uint64_t, timing::UnixTime> reportedStarts_;
   std::set<std::string, std::less<>> loggedRejectionCauses_;  // since the last reset
 };
 
--- a/src/routing/endpoint_directory.cpp
+++ b/src/routing/endpoint_directory.cpp
@@ -17,7 +17,7 @@
       running_.erase(entry.id.value);
     if (entry.startedAt == 0) continue;
     if (endpoint.startedAt != 0 && endpoint.startedAt != entry.startedAt)
-      restarted.push_back({entry.id, entry.startedAt});
+      restarted.push_back({entry.id, entry.startedAt, endpoint.startedAt});
     endpoint.startedAt = entry.startedAt;
   }
   return restarted;
--- a/src/routing/endpoint_directory.h
+++ b/src/routing/endpoint_directory.h
@@ -7,16 +7,11 @@
 #include <vector>
 
 #include "routing/endpoint_location.h"
+#include "routing/endpoint_restart.h"
 #include "routing/engine_client.h"
 
 namespace garnethook::routing {
 
-/// An endpoint that was restarted.
-struct EndpointRestart {
-  EndpointId endpoint;   ///< The endpoint.
-  Micros startedAt = 0;  ///< When it started, on the monotonic clock.
-};
-
 /// Stores role, location and start time of every endpoint ever listed, and which of them are running.
 class EndpointDirectory {
  public:
--- /dev/null
+++ b/src/routing/endpoint_restart.h
@@ -0,0 +1,25 @@
+/// Restarts of endpoints, as derived from the endpoint list.
+#pragma once
+
+#include <cstddef>
+
+#include "policy/ids.h"
+
+namespace garnethook::routing {
+
+/// The endpoint list reported a start of an endpoint that was not known before.
+struct EndpointRestart {
+  EndpointId endpoint;           ///< The endpoint.
+  Micros startedAt = 0;          ///< When it started at the latest, on the monotonic clock.
+  Micros previousStartedAt = 0;  ///< The same for the start that was known before.
+};
+
+/// A restart and its consequences, for logs.
+struct EndpointRestartEvent {
+  EndpointId endpoint;                    ///< The endpoint.
+  Micros startAge = 0;                    ///< Minimum time since its start.
+  Micros previousStartAge = 0;            ///< The same for the start that was known before.
+  std::size_t forgottenReservations = 0;  ///< KV reservations that were dropped without a release.
+};
+
+}  // namespace garnethook::routing
--- a/src/routing/kv_reservation_releaser.cpp
+++ b/src/routing/kv_reservation_releaser.cpp
@@ -54,8 +54,12 @@
 
 void KvReservationReleaser::onEndpointsRestarted(const std::vector<EndpointRestart>& restarts) {
   if (restarts.empty()) return;
-  for (const EndpointRestart& restart : restarts)
-    tracker_.onEndpointRestarted(restart.endpoint, restart.startedAt);
+  const Micros now = context_.timers.now();
+  for (const EndpointRestart& restart : restarts) {
+    const std::size_t forgotten = tracker_.onEndpointRestarted(restart.endpoint, restart.startedAt);
+    context_.observer.onEndpointRestarted(
+        {restart.endpoint, now - restart.startedAt, now - restart.previousStartedAt, forgotten});
+  }
   std::erase_if(traceIds_, [this](const auto& item) { return !needsTraceId({item.first}); });
 }
 
--- a/src/routing/kv_reservation_tracker.cpp
+++ b/src/routing/kv_reservation_tracker.cpp
@@ -98,16 +98,18 @@
     item->second.idleSince = now;
 }
 
-void KvReservationTracker::onEndpointRestarted(EndpointId endpoint, Micros startedAt) {
+std::size_t KvReservationTracker::onEndpointRestarted(EndpointId endpoint, Micros startedAt) {
   const auto isInvalidated = [&](const Key& key, Micros prefillSentAt) {
     if (key.second != endpoint || prefillSentAt >= startedAt) return false;
     report(KvReservationChange::endpointRestarted, key);
     return true;
   };
-  std::erase_if(reservations_,
-                [&](const auto& item) { return isInvalidated(item.first, item.second.sentAt); });
-  std::erase_if(releases_,
-                [&](const auto& item) { return isInvalidated(item.first, item.second.prefillSentAt); });
+  std::size_t forgotten = std::erase_if(
+      reservations_, [&](const auto& item) { return isInvalidated(item.first, item.second.sentAt); });
+  forgotten += std::erase_if(
+      releases_, [&](const auto& item) { return isInvalidated(item.first, item.second.prefillSentAt); });
+  forgottenCount_ += forgotten;
+  return forgotten;
 }
 
 // ---- due times ----
--- a/src/routing/kv_reservation_tracker.h
+++ b/src/routing/kv_reservation_tracker.h
@@ -83,7 +83,8 @@
   /// endpoint ended.
   void onAttemptEnded(RequestId request, Micros now);
   /// Discards the reservations of prefills sent to the endpoint before `startedAt`: the restart freed them.
-  void onEndpointRestarted(EndpointId endpoint, Micros startedAt);
+  /// Returns the number of reservations and pending releases that were discarded.
+  std::size_t onEndpointRestarted(EndpointId endpoint, Micros startedAt);
 
   /// Returns when the request's reservations are due for release, unless an attempt has reached an endpoint
   /// by then; none if the request has no reservation.
@@ -132,6 +133,8 @@
   std::uint64_t repeatedCount() const { return repeatedCount_; }
   /// Number of releases that were given up after maxReleaseAttempts failed calls.
   std::uint64_t abandonedCount() const { return abandonedCount_; }
+  /// Number of reservations and releases that were discarded since their endpoint restarted.
+  std::uint64_t forgottenCount() const { return forgottenCount_; }
   /// The longest time from a release's request to its first confirmation, in microseconds.
   Micros longestRelease() const { return longestRelease_; }
 
@@ -183,6 +186,7 @@
   std::uint64_t releasedCount_ = 0;
   std::uint64_t repeatedCount_ = 0;
   std::uint64_t abandonedCount_ = 0;
+  std::uint64_t forgottenCount_ = 0;
   Micros longestRelease_ = 0;
 };
 
--- a/src/routing/observer.h
+++ b/src/routing/observer.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "routing/completion.h"
+#include "routing/endpoint_restart.h"
 #include "routing/engine_client.h"
 #include "routing/kv_reservation_event.h"
 #include "routing/rule_guard.h"
@@ -39,6 +40,8 @@
   virtual void onReleaseEnded(const ReleaseCall&, bool /*ok*/) {}
   /// The tracked state of a KV reservation changed.
   virtual void onKvReservation(const KvReservationEvent&) {}
+  /// The endpoint list reported a new start of an endpoint.
+  virtual void onEndpointRestarted(const EndpointRestartEvent&) {}
   /// The policy handled an event and returned these actions, for recordings.
   virtual void onDecision(Micros, const Event&, const std::vector<Action>&) {}
 };
--- a/src/server/router_server.cpp
+++ b/src/server/router_server.cpp
@@ -163,6 +163,13 @@
   if (log_.isDebugEnabled()) log_.debug("client-cancelled", {{"request", id.value}});
 }
 
+void RouterServer::onEndpointRestarted(const routing::EndpointRestartEvent& event) {
+  log_.info("engine-restarted", {{"engine", nameOf(event.endpoint)},
+                                 {"start_age_ms", event.startAge / 1000},
+                                 {"previous_start_age_ms", event.previousStartAge / 1000},
+                                 {"kv_forgotten", event.forgottenReservations}});
+}
+
 void RouterServer::onPolicyLog(const std::string& policyMessage) {
   log_.info(
       "policy",
@@ -216,7 +223,8 @@
          std::to_string(router_->kvReservations().reservationCount()) + ", releases in flight " +
          std::to_string(router_->kvReservations().pendingReleaseCount()) + ", released " +
          std::to_string(router_->kvReservations().releasedCount()) + ", abandoned " +
-         std::to_string(router_->kvReservations().abandonedCount()) +
+         std::to_string(router_->kvReservations().abandonedCount()) + ", forgotten " +
+         std::to_string(router_->kvReservations().forgottenCount()) +
          (counts_.isEnabled() ? "; " + counts_.summary() : "");
 }
 
--- a/src/server/router_server.h
+++ b/src/server/router_server.h
@@ -62,6 +62,7 @@
   void onCompletion(RequestId id, const routing::Request& request, const routing::Completion& completion,
                     Micros duration) override;
   void onCancelled(RequestId id) override;
+  void onEndpointRestarted(const routing::EndpointRestartEvent& event) override;
   void onPolicyLog(const std::string& policyMessage) override;
   void onDecision(Micros now, const Event& event, const std::vector<Action>& actions) override;
   void poll();
