Release KV state after a reported restart of its engine like any other state

Cause: the tracker dropped all reservations and pending releases whose prefill was sent before the start that it was given. That time is an upper bound, made for slow start: the smallest difference seen between a reported start and its report, limited to the last 2 s of contact. It lies after the real start by as much as the first list's starts were old, and "restarted" was any other mapped time, not another reported start. Even an exact time proves nothing: a prefill sent before a start can reach the engine after it. `serve` used the same code and kept states too.

Change: a restart ends no reservation and no release. They are released like all others when the request ends; engines answer 204 where nothing is left. `engine-restarted` now tells how many stay (`kv_kept`); the count `forgotten` and the change `endpoint-restarted` have no case any more.

Why it works: a release is owed until it is proved that nothing is held, and a told start never proves this of a given state. Nothing else drops a reservation by time.

--- a/src/platform/process/router_logger.cpp
+++ b/src/platform/process/router_logger.cpp
@@ -42,8 +42,8 @@
     : log_(std::move(log)), classNames_(std::move(classNames)) {}
 
 std::string RouterLogger::endpointName(EndpointId id) const {
-  const auto found = endpointNames_.find(id.value);
-  return found == endpointNames_.end() ? std::to_string(id.value) : found->second;
+  const auto found = endpoints_.find(id.value);
+  return found == endpoints_.end() ? std::to_string(id.value) : found->second.name;
 }
 
 void RouterLogger::logEntryErrors(const std::vector<EntryError>& errors) {
@@ -54,10 +54,8 @@
 }
 
 void RouterLogger::logEndpointList(const EndpointListChange& change, const EndpointList& list) {
-  for (const auto& [name, endpoint] : change.entries) {
-    endpointNames_[endpoint.id.value] = name;
-    reportedStarts_[endpoint.id.value] = endpoint.startedAt;
-  }
+  for (const auto& [name, endpoint] : change.entries)
+    endpoints_[endpoint.id.value] = {name, endpoint.startedAt};
   log_.info("endpoint-list", {{"version", list.version()},
                               {"endpoints", list.endpoints().size()},
                               {"stale_copy", change.kind == EndpointUpdate::Kind::staleCopy},
@@ -157,13 +155,21 @@
                                 {"call", event.callNumber}});
 }
 
+// Many engines can restart at once, so those that hold nothing for this router are left to the debug level.
 void RouterLogger::onEndpointRestarted(const routing::EndpointRestartEvent& event) {
-  log_.info("engine-restarted",
-            {{"engine", endpointName(event.endpoint)},
-             {"reported_start_ms", reportedStarts_[event.endpoint.value].sinceEpoch / kMicrosPerMillisecond},
-             {"start_age_ms", event.startAge / kMicrosPerMillisecond},
-             {"previous_start_age_ms", event.previousStartAge / kMicrosPerMillisecond},
-             {"kv_forgotten", event.forgottenReservations}});
+  const bool isAffected = event.keptReservations > 0;
+  if (!isAffected && !log_.isDebugEnabled()) return;
+  const log::Log::Fields fields{
+      {"engine", endpointName(event.endpoint)},
+      {"reported_start_ms",
+       endpoints_[event.endpoint.value].reportedStart.sinceEpoch / kMicrosPerMillisecond},
+      {"start_age_ms", event.startAge / kMicrosPerMillisecond},
+      {"previous_start_age_ms", event.previousStartAge / kMicrosPerMillisecond},
+      {"kv_kept", event.keptReservations}};
+  if (isAffected)
+    log_.info("engine-restarted", fields);
+  else
+    log_.debug("engine-restarted", fields);
 }
 
 void RouterLogger::onActionFailed(const std::string& what) { log_.error("internal", {{"error", what}}); }
--- a/src/platform/process/router_logger.h
+++ b/src/platform/process/router_logger.h
@@ -47,6 +47,10 @@
   void onActionFailed(const std::string& what) override;
 
  private:
+  struct KnownEndpoint {
+    std::string name;
+    timing::UnixTime reportedStart;
+  };
   std::string endpointName(EndpointId id) const;
 
   void onAttempt(const routing::AttemptSpec& attempt) override;
@@ -64,8 +68,7 @@
 
   log::Log log_;
   std::vector<std::string> classNames_;
-  std::map<std::uint64_t, std::string> endpointNames_;
-  std::map<std::uint64_t, timing::UnixTime> reportedStarts_;
+  std::map<std::uint64_t, KnownEndpoint> endpoints_;
   std::set<std::string, std::less<>> loggedRejectionCauses_;  // since the last reset
 };
 
--- a/src/platform/process/status_summary.cpp
+++ b/src/platform/process/status_summary.cpp
@@ -71,7 +71,6 @@
       .addCount("repeated", reservations.repeatedCount())
       .addCount("released", reservations.releasedCount())
       .addCount("abandoned", reservations.abandonedCount())
-      .addCount("forgotten", reservations.forgottenCount())
       .addCount("slowest release ms",
                 static_cast<std::uint64_t>(reservations.longestRelease() / kMicrosPerMillisecond));
 }
--- a/src/routing/endpoint_restart.h
+++ b/src/routing/endpoint_restart.h
@@ -16,10 +16,10 @@
 
 /// A restart and its consequences, for logs.
 struct EndpointRestartEvent {
-  EndpointId endpoint;                    ///< The endpoint.
-  Micros startAge = 0;                    ///< Minimum time since its start.
-  Micros previousStartAge = 0;            ///< The same for the start that was known before.
-  std::size_t forgottenReservations = 0;  ///< KV reservations that were dropped without a release.
+  EndpointId endpoint;               ///< The endpoint.
+  Micros startAge = 0;               ///< Minimum time since its start.
+  Micros previousStartAge = 0;       ///< The same for the start that was known before.
+  std::size_t keptReservations = 0;  ///< KV reservations and releases of the endpoint that stay tracked.
 };
 
 }  // namespace garnethook::routing
--- a/src/routing/kv_reservation_event.cpp
+++ b/src/routing/kv_reservation_event.cpp
@@ -9,7 +9,6 @@
     case KvReservationChange::transferred: return "transferred";
     case KvReservationChange::prefillAbandoned: return "prefill-abandoned";
     case KvReservationChange::decodeAbandoned: return "decode-abandoned";
-    case KvReservationChange::endpointRestarted: return "endpoint-restarted";
     case KvReservationChange::releaseRequested: return "release-requested";
     case KvReservationChange::releaseCalled: return "release-called";
     case KvReservationChange::releaseFailed: return "release-failed";
--- a/src/routing/kv_reservation_releaser.cpp
+++ b/src/routing/kv_reservation_releaser.cpp
@@ -52,15 +52,13 @@
   startTimer();
 }
 
-void KvReservationReleaser::onEndpointsRestarted(const std::vector<EndpointRestart>& restarts) {
-  if (restarts.empty()) return;
+void KvReservationReleaser::reportRestarts(const std::vector<EndpointRestart>& restarts) const {
   const Micros now = context_.timers.now();
   for (const EndpointRestart& restart : restarts) {
-    const std::size_t forgotten = tracker_.onEndpointRestarted(restart.endpoint, restart.startedAt);
-    context_.observer.onEndpointRestarted(
-        {restart.endpoint, now - restart.startedAt, now - restart.previousStartedAt, forgotten});
+    context_.observer.onEndpointRestarted({restart.endpoint, now - restart.startedAt,
+                                           now - restart.previousStartedAt,
+                                           tracker_.countAt(restart.endpoint)});
   }
-  std::erase_if(traceIds_, [this](const auto& item) { return !needsTraceId({item.first}); });
 }
 
 void KvReservationReleaser::forgetTraceId(RequestId request) {
--- a/src/routing/kv_reservation_releaser.h
+++ b/src/routing/kv_reservation_releaser.h
@@ -37,8 +37,8 @@
   void releaseDuringAttempt(RequestId request, InFlightAttempt& attempt);
   /// Handles the end of a release call; a failed one is retried later.
   void onReleaseEnded(const ReleaseCall& call, bool ok);
-  /// Discards the reservations that the restarts freed.
-  void onEndpointsRestarted(const std::vector<EndpointRestart>& restarts);
+  /// Reports the restarts, each with the reservations that its endpoint may still hold; these are kept.
+  void reportRestarts(const std::vector<EndpointRestart>& restarts) const;
   /// Erases the request's trace id unless a release may still need it.
   void forgetTraceId(RequestId request);
 
--- a/src/routing/kv_reservation_tracker.cpp
+++ b/src/routing/kv_reservation_tracker.cpp
@@ -39,7 +39,6 @@
   const Key key{request, endpoint};
   const auto [item, isFirst] = reservations_.try_emplace(key, Reservation{.idleSince = now});
   Reservation& reservation = item->second;
-  reservation.sentAt = now;
   reservation.hasEarlierPrefill = !isFirst;
   const auto release = releases_.find(key);
   if (release != releases_.end()) {
@@ -98,20 +97,6 @@
     item->second.idleSince = now;
 }
 
-std::size_t KvReservationTracker::onEndpointRestarted(EndpointId endpoint, Micros startedAt) {
-  const auto isInvalidated = [&](const Key& key, Micros prefillSentAt) {
-    if (key.second != endpoint || prefillSentAt >= startedAt) return false;
-    report(KvReservationChange::endpointRestarted, key);
-    return true;
-  };
-  std::size_t forgotten = std::erase_if(
-      reservations_, [&](const auto& item) { return isInvalidated(item.first, item.second.sentAt); });
-  forgotten += std::erase_if(
-      releases_, [&](const auto& item) { return isInvalidated(item.first, item.second.prefillSentAt); });
-  forgottenCount_ += forgotten;
-  return forgotten;
-}
-
 // ---- due times ----
 
 std::optional<Micros> KvReservationTracker::releaseDueAt(RequestId request) const {
@@ -147,7 +132,6 @@
 ReleaseCall KvReservationTracker::startRelease(const Key& key, const Reservation& reservation, Micros now) {
   Release& release = releases_[key];
   release.requestedAt = now;
-  release.prefillSentAt = reservation.sentAt;
   release.failures = release.confirmations = 0;
   release.abandonedPrefills.add(reservation.abandonedPrefills);
   release.abandonedDecodes.add(reservation.abandonedDecodes);
@@ -258,6 +242,12 @@
   return hasItem(reservations_) || hasItem(releases_);
 }
 
+std::size_t KvReservationTracker::countAt(EndpointId endpoint) const {
+  const auto isAtEndpoint = [&](const auto& item) { return item.first.second == endpoint; };
+  return static_cast<std::size_t>(std::count_if(reservations_.begin(), reservations_.end(), isAtEndpoint) +
+                                  std::count_if(releases_.begin(), releases_.end(), isAtEndpoint));
+}
+
 bool KvReservationTracker::hasUnfinishedWork() const {
   return !releases_.empty() || std::any_of(reservations_.begin(), reservations_.end(), [](const auto& item) {
     return item.second.abandonedPrefills.lastAbandonedAt != 0;
--- a/src/routing/kv_reservation_tracker.h
+++ b/src/routing/kv_reservation_tracker.h
@@ -13,6 +13,10 @@
 /// release is not final: the call may have arrived before the state existed, or the engine may have skipped
 /// the state because a decode still waited for it. The release is therefore called again, at increasing
 /// intervals, and once more when the abandoned attempt can no longer have an effect.
+///
+/// A restart of an endpoint ends no reservation. The endpoint list reports a start after it took place, and
+/// its time on this router's clock is known only as an upper bound, so any state may belong to the new
+/// process. A release of state that the restart has freed costs one call.
 #pragma once
 
 #include <cstddef>
@@ -82,9 +86,6 @@
   /// Restarts the release timeout of the request's reservations, since an attempt that had reached an
   /// endpoint ended.
   void onAttemptEnded(RequestId request, Micros now);
-  /// Discards the reservations of prefills sent to the endpoint before `startedAt`: the restart freed them.
-  /// Returns the number of reservations and pending releases that were discarded.
-  std::size_t onEndpointRestarted(EndpointId endpoint, Micros startedAt);
 
   /// Returns when the request's reservations are due for release, unless an attempt has reached an endpoint
   /// by then; none if the request has no reservation.
@@ -117,6 +118,8 @@
 
   /// Whether the request has a reservation or a pending release.
   bool isTracking(RequestId request) const;
+  /// Number of reservations and pending releases at the endpoint.
+  std::size_t countAt(EndpointId endpoint) const;
   /// Number of reservations whose release was not requested yet.
   std::size_t reservationCount() const { return reservations_.size(); }
   /// Number of releases that were requested and are not final yet.
@@ -133,8 +136,6 @@
   std::uint64_t repeatedCount() const { return repeatedCount_; }
   /// Number of releases that were given up after maxReleaseAttempts failed calls.
   std::uint64_t abandonedCount() const { return abandonedCount_; }
-  /// Number of reservations and releases that were discarded since their endpoint restarted.
-  std::uint64_t forgottenCount() const { return forgottenCount_; }
   /// The longest time from a release's request to its first confirmation, in microseconds.
   Micros longestRelease() const { return longestRelease_; }
 
@@ -151,14 +152,12 @@
   };
   struct Reservation {
     Micros idleSince = 0;             // start of the time that rule 5 limits
-    Micros sentAt = 0;                // when the latest prefill was sent
     bool hasEarlierPrefill = false;   // an earlier prefill here may have left state too
     AbandonedWork abandonedPrefills;  // may still leave state
     AbandonedWork abandonedDecodes;   // may still wait for the state
   };
   struct Release {
     Micros requestedAt = 0;
-    Micros prefillSentAt = 0;
     Micros calledAt = 0;
     Micros retryAt = 0;  // 0: a call is in flight
     std::uint64_t callNumber = 0;
@@ -186,7 +185,6 @@
   std::uint64_t releasedCount_ = 0;
   std::uint64_t repeatedCount_ = 0;
   std::uint64_t abandonedCount_ = 0;
-  std::uint64_t forgottenCount_ = 0;
   Micros longestRelease_ = 0;
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -120,7 +120,7 @@
 // ---- endpoints and engines ----
 
 void Router::onEndpointUpdate(const EndpointUpdate& update) {
-  reservations_.onEndpointsRestarted(endpoints_.apply(update));
+  reservations_.reportRestarts(endpoints_.apply(update));
   events_.enqueue(update);
 }
 
--- a/src/server/router_server.cpp
+++ b/src/server/router_server.cpp
@@ -163,11 +163,18 @@
   if (log_.isDebugEnabled()) log_.debug("client-cancelled", {{"request", id.value}});
 }
 
+// Many engines can restart at once, so those that hold nothing for this router are left to the debug level.
 void RouterServer::onEndpointRestarted(const routing::EndpointRestartEvent& event) {
-  log_.info("engine-restarted", {{"engine", nameOf(event.endpoint)},
-                                 {"start_age_ms", event.startAge / 1000},
-                                 {"previous_start_age_ms", event.previousStartAge / 1000},
-                                 {"kv_forgotten", event.forgottenReservations}});
+  const bool isAffected = event.keptReservations > 0;
+  if (!isAffected && !log_.isDebugEnabled()) return;
+  const Log::Fields fields{{"engine", nameOf(event.endpoint)},
+                           {"start_age_ms", event.startAge / 1000},
+                           {"previous_start_age_ms", event.previousStartAge / 1000},
+                           {"kv_kept", event.keptReservations}};
+  if (isAffected)
+    log_.info("engine-restarted", fields);
+  else
+    log_.debug("engine-restarted", fields);
 }
 
 void RouterServer::onPolicyLog(const std::string& policyMessage) {
@@ -223,8 +230,7 @@
          std::to_string(router_->kvReservations().reservationCount()) + ", releases in flight " +
          std::to_string(router_->kvReservations().pendingReleaseCount()) + ", released " +
          std::to_string(router_->kvReservations().releasedCount()) + ", abandoned " +
-         std::to_string(router_->kvReservations().abandonedCount()) + ", forgotten " +
-         std::to_string(router_->kvReservations().forgottenCount()) +
+         std::to_string(router_->kvReservations().abandonedCount()) +
          (counts_.isEnabled() ? "; " + counts_.summary() : "");
 }
 
--- a/tests/path/hard_cases_test.cpp
+++ b/tests/path/hard_cases_test.cpp
@@ -62,6 +62,31 @@
   world.expectClean();
 }
 
+// Prevents KV state that an engine has created between its start and the report of that start in the endpoint
+// list from staying reserved after its call has been cancelled.
+TEST(Path, ACancelReleasesAStateThatWasCreatedBeforeTheStartOfItsEngineWasListed) {
+  World world;
+  const auto restartPrefillEngines = [&] {
+    world.forEachEngine("prefill", [](auto& fakeEngine) {
+      fakeEngine.start();
+      fakeEngine.faults.link = 1e7;  // the transfer takes minutes
+    });
+  };
+  restartPrefillEngines();
+  world.fleet.writeList(world.endpointListPath(), 0);
+  world.pass(100'000);
+  restartPrefillEngines();
+  Reply reply;
+  const auto id = world.sendRequest(reply);
+  ASSERT_TRUE(world.until([&] { return world.fleet.held() == 1; }));
+  world.pass(50'000);
+  world.fleet.writeList(world.endpointListPath(), 0);
+  world.pass(100'000);
+  world.channel->cancel(id);
+  EXPECT_TRUE(world.until([&] { return world.fleet.held() == 0; }, 500'000));
+  world.expectClean();
+}
+
 TEST(Path, ACancelDuringThePrefillReleasesItsKvState) {
   World world(
       R"({ "engines": [ { "name": "read", "kind": "prefill", "role": "reader", "read_base_ms": 300, "cancel_stops": false },
--- a/tests/process/kv_release_test.cpp
+++ b/tests/process/kv_release_test.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "process_harness.h"
+#include "timing/wall_clock.h"
 
 namespace garnethook::test {
 namespace {
@@ -204,5 +205,76 @@
   EXPECT_GT(harness.decodeEngine.count("DELETE"), 0u);
 }
 
+// Clients whose requests wait at a decode engine disconnect after the endpoint list has reported a start of
+// the prefill engine, or has lacked the engine once.
+struct KvReleaseAfterListChangeTest : KvReleaseTest {
+  KvReleaseAfterListChangeTest() {
+    decode = [](Request&) {};
+    harness.discovery.list = fullList(1, minutesAgo);
+    useShortWarmUp();
+  }
+  // The router takes the latest start in its first list for a recent one, and such an engine gets few
+  // requests until it is warm.
+  void useShortWarmUp() {
+    constexpr std::string_view defaultWarmUp = R"("warmWithinMs":9000.0)";
+    std::string text = platformConfigText(harness.discovery.address());
+    text.replace(text.find(defaultWarmUp), defaultWarmUp.size(),
+                 R"("warmWithinMs":)" + std::to_string(kWarmUp / kMillisecond));
+    harness.writeConfig(text);
+  }
+  static std::int64_t unixMilliseconds() { return timing::unixNow().sinceEpoch / kMillisecond; }
+  std::string prefillEntry(std::int64_t startedAt) const {
+    std::string entry = memberText("r", harness.prefillEngine, "m1");
+    const std::string unknownStart = R"("up_since_ms":0)";
+    return entry.replace(entry.find(unknownStart), unknownStart.size(),
+                         R"("up_since_ms":)" + std::to_string(startedAt));
+  }
+  std::string decodeEntry() const { return memberText("w", harness.decodeEngine, "m2"); }
+  std::string fullList(int revision, std::int64_t startedAt) const {
+    return listText(revision, true, prefillEntry(startedAt) + "," + decodeEntry());
+  }
+  // Starts the program and sends a request whose decode attempt gets no response.
+  std::unique_ptr<RawClient> startWaitingRequest(const std::string& id) {
+    harness.start();
+    harness.pass(2 * kWarmUp);
+    auto client = harness.client();
+    client->expiresInMs = 6000;
+    client->ask(id, "order");
+    EXPECT_TRUE(harness.until([&] { return harness.decodeEngine.count("POST") == 1; }, 2 * kSecond));
+    return client;
+  }
+  void waitForList(std::size_t count) {
+    EXPECT_TRUE(
+        harness.until([&] { return harness.linesWith(R"("event":"endpoint-list")") >= count; }, kSecond));
+  }
+
+  static constexpr net::Micros kWarmUp = 100 * kMillisecond;
+  const std::int64_t minutesAgo = unixMilliseconds() - 120'000;
+};
+
+// The engine restarts, prefills and waits; only then does the list report its start. Prevents state that was
+// created between a start and its report from staying reserved for good.
+TEST_F(KvReleaseAfterListChangeTest, ReleasesAStateCreatedBeforeTheStartOfItsEndpointWasReported) {
+  const auto client = startWaitingRequest("told-late");
+  harness.discovery.publish(listText(2, false, prefillEntry(unixMilliseconds() - 2000)));
+  ASSERT_TRUE(harness.until([&] { return harness.linesWith(R"("engine-restarted")") == 1; }, kSecond));
+  client->stream.close();
+  expectReleaseFromNow("told-late");
+}
+
+// One whole list lacks the engine, the next one has it again with the same start. Prevents an endpoint that
+// never restarted from losing the reservations of requests that wait.
+TEST_F(KvReleaseAfterListChangeTest, ReleasesAStateOfAnEndpointThatWasMissingFromOneList) {
+  const auto client = startWaitingRequest("missing-once");
+  harness.pass(2500 * kMillisecond);
+  const std::size_t lists = harness.linesWith(R"("event":"endpoint-list")");
+  harness.discovery.publish(listText(2, true, decodeEntry()));
+  waitForList(lists + 1);
+  harness.discovery.publish(fullList(3, minutesAgo));
+  waitForList(lists + 2);
+  client->stream.close();
+  expectReleaseFromNow("missing-once");
+}
+
 }  // namespace
 }  // namespace garnethook::test
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -83,6 +83,11 @@
     result.kvTransferParams = "{}";
     router.onAttemptEnded(engines.startedAttempts.back().attempt, result);
   }
+  // Reports a start of the prefill endpoint.
+  void reportStart(Micros startedAt) {
+    router.onEndpointUpdate(
+        {EndpointUpdate::Kind::delta, {{.id = {1}, .zone = 0, .kind = 0, .startedAt = startedAt}}});
+  }
   void sendToken(const std::string& text = "x") {
     router.onTokens(engines.startedAttempts.back().attempt, text, 1, {});
   }
@@ -192,6 +197,44 @@
   EXPECT_EQ(router.kvReservations().releasedCount(), 0u);
 }
 
+// The parameter is the time since a start that the endpoint list reports.
+class ReportedRestartTest : public RouterTest, public testing::WithParamInterface<Micros> {};
+
+// Prevents KV state from staying reserved for good when the endpoint list reports a new start of its
+// endpoint. The reported time only limits how late the start was: the state may have been created after it,
+// also by a prefill that was sent before it and reached the endpoint after it.
+TEST_P(ReportedRestartTest, StateThatMayHaveBeenCreatedAfterItIsReleased) {
+  reportStart(timers.time - 60'000'000);
+  RecordingClient client;
+  const auto id = accept(client);
+  timers.advance(10'000);
+  finishPrefill();
+  timers.advance(10'000);
+  reportStart(timers.time - GetParam());
+  EXPECT_EQ(router.kvReservations().countAt({1}), 1u);
+  router.cancel(id);
+  ASSERT_EQ(engines.releaseCalls.size(), 1u);
+  EXPECT_EQ(engines.releaseCalls[0].request, id);
+}
+
+INSTANTIATE_TEST_SUITE_P(StartAges, ReportedRestartTest, testing::Values(0, 15'000, 20'000, 2'000'000));
+
+// Prevents a release from being dropped when the endpoint list reports a restart while no engine has
+// confirmed it yet.
+TEST_F(RouterTest, RetriesAFailedReleaseAfterARestartWasReported) {
+  reportStart(timers.time - 60'000'000);
+  RecordingClient client;
+  const auto id = accept(client);
+  finishPrefill();
+  router.cancel(id);
+  ASSERT_EQ(engines.releaseCalls.size(), 1u);
+  router.onReleaseEnded(engines.releaseCalls[0], false);
+  timers.advance(1'000);
+  reportStart(timers.time);
+  timers.advance(150'000);
+  EXPECT_EQ(engines.releaseCalls.size(), 2u);
+}
+
 // Prevents repeated connection failures from restarting the release timeout: three consecutive failures kept
 // a state for longer than rule 5 allows.
 TEST_F(RouterTest, ReleasesTheStateWhenConnectionsToDecodeEndpointsFailRepeatedly) {
