Keep the known start of an engine that one whole list lacks

Callers saw: an engine that a list lacked once, and that never restarted, got a fraction of its requests afterwards, and what the router knew of it (kept prefixes, speed, health) was gone.

When it came back with the same reported start it was dated anew, to at most 2 s before the last contact, which counts as a restart and as cold.

Evidence: `engine-restarted` with an unchanged reported start, start_age_ms 2001 in place of 20018.

Change: starts of endpoints that are not listed stay stored, up to 8,192 of them as for the list's tombstones; beyond that all unlisted ones go, and would be dated late. `serve`, which had no bound at all, has the same.

Why it works: the reported start identifies the process, and an upper bound on its time stays one however long the engine is not listed.

Failed before: StartTimesTest.KeepsTheStartOfAnEndpointThatWasMissingFromAList (7 of 7 clocks), StartTimes.StoresALimitedNumberOfEndpointsThatAreNotListed, and KvReleaseAfterListChangeTest.ReleasesAStateOfAnEndpointThatWasMissingFromOneList with its new line that no restart is logged. The last line of RemapsStartsOfThePersistedCopyOnceDiscoveryReports called the removed function and checked nothing.

--- a/src/membership/start_times.cpp
+++ b/src/membership/start_times.cpp
@@ -50,7 +50,8 @@
   return std::clamp(mapped, std::min(earliest, now), std::max<Micros>(1, now));
 }
 
-void StartTimes::retainOnly(const EndpointMap& listed) {
+void StartTimes::limitUnlisted(const EndpointMap& listed) {
+  if (starts_.size() <= listed.size() + kMaxUnlisted) return;
   std::erase_if(starts_, [&](const auto& entry) { return !listed.contains(entry.first); });
 }
 
--- a/src/membership/start_times.h
+++ b/src/membership/start_times.h
@@ -35,11 +35,17 @@
   /// except that the first list from discovery remaps the starts of a persisted copy.
   MonotonicStartTimes toMonotonic(const EndpointMap& endpoints, Source source, Micros now,
                                   timing::UnixTime wallNow);
-  /// Removes all endpoints that are not in `listed`.
-  void retainOnly(const EndpointMap& listed);
+  /// Limits the memory taken up by endpoints that are not in `listed`. Up to kMaxUnlisted of them are stored,
+  /// since an endpoint that is missing from a list may return without a restart; beyond that, all are
+  /// removed.
+  void limitUnlisted(const EndpointMap& listed);
+  /// Number of endpoints whose start is stored.
+  std::size_t size() const { return starts_.size(); }
 
   /// A start further ahead of this machine's wall clock than this is not used to map others, in microseconds.
   static constexpr Micros kMaxClockLead = 2'000'000;
+  /// Number of endpoints that are stored although they are not listed.
+  static constexpr std::size_t kMaxUnlisted = 8192;
   /// Longest delay between a start and its report while discovery is in contact, in microseconds.
   static constexpr Micros kMaxReportDelay = 2'000'000;
 
--- a/src/platform/process/endpoint_publisher.cpp
+++ b/src/platform/process/endpoint_publisher.cpp
@@ -39,7 +39,7 @@
                           ? membership::StartTimes::Source::persistedCopy
                           : membership::StartTimes::Source::discovery;
   const auto startTimes = startTimes_.toMonotonic(change.entries, source, loop_.now(), timing::unixNow());
-  if (change.kind == EndpointUpdate::Kind::snapshot) startTimes_.retainOnly(list_.endpoints());
+  startTimes_.limitUnlisted(list_.endpoints());
   router_.onEndpointUpdate(membership::toEndpointUpdate(change.entries, startTimes, names_, change.kind));
 }
 
--- a/src/server/router_server.cpp
+++ b/src/server/router_server.cpp
@@ -95,7 +95,9 @@
 }
 
 membership::MonotonicStartTimes RouterServer::startTimes(membership::StartTimes::Source source) {
-  return startTimes_.toMonotonic(endpointList_.endpoints(), source, loop_.now(), timing::unixNow());
+  auto starts = startTimes_.toMonotonic(endpointList_.endpoints(), source, loop_.now(), timing::unixNow());
+  startTimes_.limitUnlisted(endpointList_.endpoints());
+  return starts;
 }
 
 // Publishes new tokenisers and prompt factors; the rest of the endpoint list is unchanged.
--- a/tests/membership/start_times_test.cpp
+++ b/tests/membership/start_times_test.cpp
@@ -81,6 +81,17 @@
   EXPECT_EQ(mappedStart({{"a", kNow + kHour}, {"b", kNow - kSecond}}, "a", kNow + 5 * kSecond), first);
 }
 
+// Prevents an endpoint that runs without a restart from being dated anew, and so from being limited as if it
+// were cold, when one full list lacks it.
+TEST_P(StartTimesTest, KeepsTheStartOfAnEndpointThatWasMissingFromAList) {
+  const Micros first = mappedStart({{"a", kNow - 60 * kSecond}, {"b", kNow - kSecond}}, "a", kNow);
+  mappedStart({{"b", kNow - kSecond}}, "b", kNow + 20 * kSecond);
+  startTimes.limitUnlisted(endpointsStartedAt({{"b", kNow - kSecond}}));
+  const Micros again =
+      mappedStart({{"a", kNow - 60 * kSecond}, {"b", kNow - kSecond}}, "a", kNow + 21 * kSecond);
+  EXPECT_EQ(again, first);
+}
+
 INSTANTIATE_TEST_SUITE_P(WallClocks, StartTimesTest,
                          testing::Values(0, 5 * kSecond, -5 * kSecond, kHour, -kHour, 24 * kHour,
                                          -24 * kHour));
@@ -110,7 +121,22 @@
   const auto mapped = startTimes.toMonotonic(endpoints, Source::discovery, kNow + kSecond / 100,
                                              {kUnixTimeAtMonotonicZero + kNow});
   EXPECT_LE(mapped.at("a"), kNow - 58 * kSecond);
-  startTimes.retainOnly({});
+}
+
+// Endpoints that leave and are replaced under new names must not take up memory for good.
+TEST(StartTimes, StoresALimitedNumberOfEndpointsThatAreNotListed) {
+  StartTimes startTimes;
+  EndpointMap listed;
+  for (std::size_t i = 0; i <= StartTimes::kMaxUnlisted; ++i) {
+    EndpointMap endpoints;
+    endpoints[std::to_string(i)].startedAt = {kUnixTimeAtMonotonicZero + kNow};
+    if (i == 0) listed = endpoints;
+    startTimes.toMonotonic(endpoints, Source::discovery, kNow, {kUnixTimeAtMonotonicZero + kNow});
+  }
+  startTimes.limitUnlisted(listed);
+  EXPECT_EQ(startTimes.size(), StartTimes::kMaxUnlisted + 1);
+  startTimes.limitUnlisted({});
+  EXPECT_EQ(startTimes.size(), 0U);
 }
 
 }  // namespace
--- a/tests/process/kv_release_test.cpp
+++ b/tests/process/kv_release_test.cpp
@@ -272,6 +272,7 @@
   waitForList(lists + 1);
   harness.discovery.publish(fullList(3, minutesAgo));
   waitForList(lists + 2);
+  EXPECT_EQ(harness.linesWith(R"("engine-restarted")"), 0u);
   client->stream.close();
   expectReleaseFromNow("missing-once");
 }
