Keep an engine cold when an older list takes its start back

Callers saw: a reader that has just restarted gets the requests of a warm one after a list without its start time, as an older list of a discovery that lags has it, or an entry of a draining engine.

Cause: the start times that lists report were taken as they came. An entry without one made the engine start "long ago", so slow start ended at once; an earlier one was dated by the last contact less 2 s, which can lie before the start that was known. Both errors fall on the side on which slow start may not err.

Change: `StartTimes` keeps the latest known start through an entry without one, and a report of discovery never moves a mapped start to an earlier time. That the first list of discovery dates the starts of a stored copy anew is unchanged.

Why it works: a mapped start is an upper bound on the latest start that was ever reported, and a later process starts later still.

Failed before: StartTimesTest.KeepsAKnownStartThroughAnEntryWithoutOne and StartTimesTest.MovesTheStartOfAnEndpointOnlyForward, each with 7 of 7 clocks.

--- a/src/membership/start_times.cpp
+++ b/src/membership/start_times.cpp
@@ -11,19 +11,30 @@
   updateClockOffset(endpoints, now, wallNow);
   MonotonicStartTimes startTimes;
   for (const auto& [name, endpoint] : endpoints)
-    startTimes[name] =
-        endpoint.startedAt.isKnown() ? mappedStart(name, endpoint.startedAt, source, now).monotonicAt : 0;
+    startTimes[name] = endpoint.startedAt.isKnown() ? mappedStart(name, endpoint.startedAt, source, now)
+                                                    : latestKnownStart(name);
   if (source == Source::discovery) lastContactAt_ = now;
   return startTimes;
 }
 
-const StartTimes::MappedStart& StartTimes::mappedStart(const std::string& name, UnixTime reportedAt,
-                                                       Source source, Micros now) {
+// A report of discovery never moves the start of an endpoint to an earlier time: it may come from a list that
+// is older than the latest start.
+Micros StartTimes::mappedStart(const std::string& name, UnixTime reportedAt, Source source, Micros now) {
   const auto existing = starts_.find(name);
-  const bool isCurrent = existing != starts_.end() && existing->second.reportedAt == reportedAt &&
-                         (source == Source::persistedCopy || existing->second.source == Source::discovery);
-  if (isCurrent) return existing->second;
-  return starts_[name] = {reportedAt, mapStart(reportedAt, source, now), source};
+  const bool isKnown = existing != starts_.end();
+  const bool isFromDiscovery = isKnown && existing->second.source == Source::discovery;
+  const bool isCurrent = isKnown && existing->second.reportedAt == reportedAt &&
+                         (source == Source::persistedCopy || isFromDiscovery);
+  if (isCurrent) return existing->second.monotonicAt;
+  const Micros earliest = isFromDiscovery ? existing->second.monotonicAt : 1;
+  const Micros monotonicAt = std::max(earliest, mapStart(reportedAt, source, now));
+  starts_[name] = {reportedAt, monotonicAt, source};
+  return monotonicAt;
+}
+
+Micros StartTimes::latestKnownStart(const std::string& name) const {
+  const auto existing = starts_.find(name);
+  return existing == starts_.end() ? 0 : existing->second.monotonicAt;
 }
 
 // If every start is ahead of this machine's wall clock, the wall clock is assumed to be behind, and the
--- a/src/membership/start_times.h
+++ b/src/membership/start_times.h
@@ -7,6 +7,9 @@
 /// the previous contact, which would have reported it. An incorrect clock, on this machine or at an endpoint,
 /// therefore never makes a recently started endpoint appear to have started long ago.
 ///
+/// A mapped start is therefore an upper bound. It suits slow start, which must not end too early. It proves
+/// of nothing that it happened before the start.
+///
 /// This machine's wall clock is used for one purpose only: a start in its future is not used to map the other
 /// starts.
 #pragma once
@@ -32,7 +35,9 @@
   /// Records that discovery was in contact at `now`; a heartbeat counts as contact.
   void recordContact(Micros now) { lastContactAt_ = now; }
   /// Returns the monotonic start time of each endpoint; 0 means long ago. A mapped start does not change,
-  /// except that the first list from discovery remaps the starts of a persisted copy.
+  /// except that the first list from discovery remaps the starts of a persisted copy. An entry without a
+  /// start time, and one with another start time, never move the start of a known endpoint to an earlier
+  /// time.
   MonotonicStartTimes toMonotonic(const EndpointMap& endpoints, Source source, Micros now,
                                   timing::UnixTime wallNow);
   /// Limits the memory taken up by endpoints that are not in `listed`. Up to kMaxUnlisted of them are stored,
@@ -55,8 +60,8 @@
     Micros monotonicAt = 0;
     Source source = Source::discovery;
   };
-  const MappedStart& mappedStart(const std::string& name, timing::UnixTime reportedAt, Source source,
-                                 Micros now);
+  Micros mappedStart(const std::string& name, timing::UnixTime reportedAt, Source source, Micros now);
+  Micros latestKnownStart(const std::string& name) const;
   void updateClockOffset(const EndpointMap& endpoints, Micros now, timing::UnixTime wallNow);
   Micros mapStart(timing::UnixTime reportedAt, Source source, Micros now) const;
 
--- a/tests/membership/start_times_test.cpp
+++ b/tests/membership/start_times_test.cpp
@@ -92,6 +92,27 @@
   EXPECT_EQ(again, first);
 }
 
+// Prevents a cold endpoint from counting as warm after an entry without a start time, as in a list that is
+// older than the start.
+TEST_P(StartTimesTest, KeepsAKnownStartThroughAnEntryWithoutOne) {
+  mappedStart({{"a", 0}, {"b", kNow - 60 * kSecond}}, "a", kNow);
+  const Micros now = kNow + 10 * kSecond;
+  const Micros mapped = mappedStart({{"a", now - kSecond}}, "a", now);
+  EXPECT_GE(mapped, now - kSecond);
+  EXPECT_EQ(mappedStart({{"a", 0}}, "a", now + kSecond), mapped);
+  EXPECT_EQ(mappedStart({{"a", now - kSecond}}, "a", now + 2 * kSecond), mapped);
+}
+
+// Prevents an endpoint from counting as warm too early when a list reports its previous start again.
+TEST_P(StartTimesTest, MovesTheStartOfAnEndpointOnlyForward) {
+  mappedStart({{"a", kNow - kHour}, {"b", kNow - kSecond}}, "a", kNow);
+  const Micros now = kNow + 10 * kSecond;
+  startTimes.recordContact(now);
+  const Micros mapped = mappedStart({{"a", now}}, "a", now);
+  EXPECT_GE(mappedStart({{"a", kNow - kHour}}, "a", now + kSecond / 10), mapped);
+  EXPECT_GE(mappedStart({{"a", now}}, "a", now + kSecond / 5), mapped);
+}
+
 INSTANTIATE_TEST_SUITE_P(WallClocks, StartTimesTest,
                          testing::Values(0, 5 * kSecond, -5 * kSecond, kHour, -kHour, 24 * kHour,
                                          -24 * kHour));
