Limit the fields of an HTTP head, and keep a request's head in memory once

Cause: only the bytes of a head were limited. A field of four bytes takes two strings, 64 bytes; a head of 4,000 fields takes 256 KiB, with the vector's spare room more, in the parser and again in the connection, which kept its copy for as long as it stood.

Change: a head holds 256 fields at most, for clients (431 at once) and for the other peers (a malformed answer). The connection takes the head from the parser in place of a copy, and lets go of it once it is decoded or the connection closes.

Why it works: memory for a head is now bounded by its bytes and 16 KiB for the fields, once, and only until its request is dispatched.

Failed before: Http1.LimitsTheNumberOfFields, PlatformPath.ARequestOfTooManyFieldsIsRejectedBeforeItIsComplete (408 after its time then).

--- a/src/http1/message.h
+++ b/src/http1/message.h
@@ -31,6 +31,7 @@
 
 struct MessageLimits {
   std::size_t headBytes = std::size_t{16} * 1024;  // start line and fields together
+  std::size_t fields = 256;                        // a field takes more memory than its few bytes
   std::size_t bodyBytes = std::size_t{16} << 20;   // body, excluding chunk framing
   std::size_t chunkLineBytes = 256;                // chunk-size line including extensions
 };
@@ -58,6 +59,8 @@
   // close ends here.
   bool close();
   void stop() { isStopped_ = true; }
+  // Hands over the head, so that it is in memory only once. May be called within onHead().
+  Head takeHead() { return std::move(head_); }
   // Number of bytes at the end of the last receive() input that were not consumed because of stop(). Within
   // onEnd(): the number of bytes after the message.
   std::size_t unconsumed() const { return unconsumed_; }
--- a/src/platform/http_frontend/http_connection.cpp
+++ b/src/platform/http_frontend/http_connection.cpp
@@ -23,7 +23,7 @@
 
 int parseErrorStatus(std::string_view error) {
   if (error == "body too large") return 413;
-  return error == "head too large" ? 431 : 400;
+  return error == "head too large" || error == "too many fields" ? 431 : 400;
 }
 
 }  // namespace
@@ -127,9 +127,10 @@
 // ---- Requests ----
 
 void HttpFrontend::Connection::onHead(const http1::Head& head) {
-  head_ = head;
-  if (const auto expect = http1::find(head.fields, "expect"); expect && *expect == "100-continue")
-    responses_.sendContinue();
+  const auto expect = http1::find(head.fields, "expect");
+  const bool expectsContinue = expect && *expect == "100-continue";
+  head_ = parser_.takeHead();
+  if (expectsContinue) responses_.sendContinue();
 }
 
 // Bodies being received count against the same budget as those of open requests.
@@ -164,7 +165,8 @@
 
 // Decodes the received request and passes it to the router, or responds with an error.
 void HttpFrontend::Connection::dispatch(std::string body, std::size_t bodyBytes) {
-  auto decoded = decodeRequest(head_, std::move(body), owner_.deployment_);
+  const http1::Head head = std::exchange(head_, {});
+  auto decoded = decodeRequest(head, std::move(body), owner_.deployment_);
   if (!decoded) return reject(decoded.error().status, decoded.error().text);
   routing::Request& request = decoded.value();
   if (owner_.openTraceIds_.contains(request.traceId))
@@ -310,6 +312,7 @@
   reportClose(reason);
   if (isRequestOpen_) cancelRequest();
   releaseBody();
+  head_ = {};
   pipelinedInput_.clear();
   parser_.stop();
   stream_.finishSending(inbound);
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -83,6 +83,41 @@
   EXPECT_FALSE(Parsed(MessageParser::Kind::request, "GET / HTTP/3.0\r\n", false).isValid);
 }
 
+// Prevents a head of many short fields from taking up many times its size in memory: each field takes 64
+// bytes, and can be sent with four.
+TEST(Http1, LimitsTheNumberOfFields) {
+  const auto isAccepted = [](std::size_t fields, bool bytewise) {
+    std::string text = "GET / HTTP/1.1\r\n";
+    for (std::size_t i = 0; i < fields; ++i) text += "a:\r\n";
+    return Parsed(MessageParser::Kind::request, text + "\r\n", bytewise).isValid;
+  };
+  for (const bool bytewise : {false, true}) {
+    EXPECT_TRUE(isAccepted(MessageLimits().fields, bytewise));
+    EXPECT_FALSE(isAccepted(MessageLimits().fields + 1, bytewise));
+  }
+}
+
+TEST(Http1, HandsOverTheHeadOfAMessage) {
+  struct HeadTaker final : MessageEvents {
+    void onHead(const Head&) override { taken = parser->takeHead(); }
+    void onBody(std::string_view bytes) override { body.append(bytes); }
+    void onEnd() override { ++ends; }
+    MessageParser* parser = nullptr;
+    Head taken;
+    std::string body;
+    int ends = 0;
+  } taker;
+  MessageParser parser(MessageParser::Kind::request, {}, taker);
+  taker.parser = &parser;
+  EXPECT_TRUE(
+      parser.receive("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nxyGET /b HTTP/1.1\r\nA: b\r\n\r\n"));
+  EXPECT_EQ(taker.ends, 2);
+  EXPECT_EQ(taker.body, "xy");
+  EXPECT_EQ(taker.taken.target, "/b");
+  ASSERT_EQ(taker.taken.fields.size(), 1u);
+  EXPECT_EQ(taker.taken.fields[0].name, "a");
+}
+
 TEST(Http1, EnforcesLimits) {
   const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(100'000, 'a');
   EXPECT_FALSE(Parsed(MessageParser::Kind::response, head, false).isValid);
--- a/tests/path/platform_path_test.cpp
+++ b/tests/path/platform_path_test.cpp
@@ -294,6 +294,16 @@
   EXPECT_TRUE(slow->has("HTTP/1.1 400")) << slow->got;  // its body is empty
 }
 
+// Prevents clients that stop within their requests from taking the process over its memory: a head of
+// thousands of short fields is rejected before its end, and not kept until the request times out.
+TEST_F(PlatformPath, ARequestOfTooManyFieldsIsRejectedBeforeItIsComplete) {
+  auto client = world.connectClient();
+  std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n";
+  for (int i = 0; i < 3000; ++i) head += "a:\r\n";
+  client->stream.send(head);
+  EXPECT_TRUE(world.until([&] { return client->has("HTTP/1.1 431"); }, 500'000)) << client->got;
+}
+
 TEST_F(PlatformPath, AFloodOfSilentConnectionsDoesNotBlockNewClients) {
   std::vector<std::unique_ptr<RawClient>> flood;
   for (int i = 0; i < 300; ++i) flood.push_back(world.connectClient());
