Log as a restart only a later start, and the first one of an engine that ran long

Need: where the first list of discovery dated the starts of a stored copy earlier, each engine with a reservation had a line as if it had restarted; an engine listed as started long ago, as most are, had none when it did restart.

Change: `EndpointDirectory` reports a start that is later than the one that was known, also if that was long ago; the line then has no `previous_start_age_ms`. Only the log depends on it.

Measured: RouterTest.ReportsOnlyLaterStartsAsRestarts, which failed before.

--- a/src/platform/process/router_logger.cpp
+++ b/src/platform/process/router_logger.cpp
@@ -159,13 +159,13 @@
 void RouterLogger::onEndpointRestarted(const routing::EndpointRestartEvent& event) {
   const bool isAffected = event.keptReservations > 0;
   if (!isAffected && !log_.isDebugEnabled()) return;
-  const log::Log::Fields fields{
-      {"engine", endpointName(event.endpoint)},
-      {"reported_start_ms",
-       endpoints_[event.endpoint.value].reportedStart.sinceEpoch / kMicrosPerMillisecond},
-      {"start_age_ms", event.startAge / kMicrosPerMillisecond},
-      {"previous_start_age_ms", event.previousStartAge / kMicrosPerMillisecond},
-      {"kv_kept", event.keptReservations}};
+  log::Log::Fields fields{{"engine", endpointName(event.endpoint)},
+                          {"reported_start_ms",
+                           endpoints_[event.endpoint.value].reportedStart.sinceEpoch / kMicrosPerMillisecond},
+                          {"start_age_ms", event.startAge / kMicrosPerMillisecond},
+                          {"kv_kept", event.keptReservations}};
+  if (event.previousStartAge)
+    fields["previous_start_age_ms"] = *event.previousStartAge / kMicrosPerMillisecond;
   if (isAffected)
     log_.info("engine-restarted", fields);
   else
--- a/src/routing/endpoint_directory.cpp
+++ b/src/routing/endpoint_directory.cpp
@@ -8,7 +8,8 @@
   if (isFullList) running_.clear();
   std::vector<EndpointRestart> restarted;
   for (const EndpointEntry& entry : update.entries) {
-    Endpoint& endpoint = endpoints_[entry.id.value];
+    const auto [item, isNew] = endpoints_.try_emplace(entry.id.value);
+    Endpoint& endpoint = item->second;
     endpoint.location = {entry.zone, entry.cell};
     endpoint.role = roleOf(entry);
     if (entry.state == EndpointState::running)
@@ -16,7 +17,7 @@
     else
       running_.erase(entry.id.value);
     if (entry.startedAt == 0) continue;
-    if (endpoint.startedAt != 0 && endpoint.startedAt != entry.startedAt)
+    if (!isNew && entry.startedAt > endpoint.startedAt)
       restarted.push_back({entry.id, entry.startedAt, endpoint.startedAt});
     endpoint.startedAt = entry.startedAt;
   }
--- a/src/routing/endpoint_directory.h
+++ b/src/routing/endpoint_directory.h
@@ -18,7 +18,7 @@
   /// `kinds`: the endpoint kinds, in the order of EndpointEntry::kind.
   explicit EndpointDirectory(std::vector<EndpointKind> kinds) : kinds_(std::move(kinds)) {}
 
-  /// Applies an update. Returns the endpoints that were restarted.
+  /// Applies an update. Returns the endpoints whose start is later than the one that was known.
   std::vector<EndpointRestart> apply(const EndpointUpdate& update);
   /// Returns the phase of an attempt at the endpoint. `hasKvState`: whether the request's prefill is complete
   /// and its KV state can be fetched.
@@ -32,7 +32,7 @@
   struct Endpoint {
     Role role = Role::decode;
     EndpointLocation location;
-    Micros startedAt = 0;  // latest start time that was listed; 0: none yet
+    Micros startedAt = 0;  // latest start time that was listed; 0: long ago
   };
   Role roleOf(const EndpointEntry& entry) const;
 
--- a/src/routing/kv_reservation_releaser.cpp
+++ b/src/routing/kv_reservation_releaser.cpp
@@ -55,9 +55,11 @@
 void KvReservationReleaser::reportRestarts(const std::vector<EndpointRestart>& restarts) const {
   const Micros now = context_.timers.now();
   for (const EndpointRestart& restart : restarts) {
-    context_.observer.onEndpointRestarted({restart.endpoint, now - restart.startedAt,
-                                           now - restart.previousStartedAt,
-                                           tracker_.countAt(restart.endpoint)});
+    EndpointRestartEvent event{.endpoint = restart.endpoint,
+                               .startAge = now - restart.startedAt,
+                               .keptReservations = tracker_.countAt(restart.endpoint)};
+    if (restart.previousStartedAt != 0) event.previousStartAge = now - restart.previousStartedAt;
+    context_.observer.onEndpointRestarted(event);
   }
 }
 
--- a/src/server/router_server.cpp
+++ b/src/server/router_server.cpp
@@ -169,10 +169,10 @@
 void RouterServer::onEndpointRestarted(const routing::EndpointRestartEvent& event) {
   const bool isAffected = event.keptReservations > 0;
   if (!isAffected && !log_.isDebugEnabled()) return;
-  const Log::Fields fields{{"engine", nameOf(event.endpoint)},
-                           {"start_age_ms", event.startAge / 1000},
-                           {"previous_start_age_ms", event.previousStartAge / 1000},
-                           {"kv_kept", event.keptReservations}};
+  Log::Fields fields{{"engine", nameOf(event.endpoint)},
+                     {"start_age_ms", event.startAge / 1000},
+                     {"kv_kept", event.keptReservations}};
+  if (event.previousStartAge) fields["previous_start_age_ms"] = *event.previousStartAge / 1000;
   if (isAffected)
     log_.info("engine-restarted", fields);
   else
--- a/tests/platform/process/router_logger_test.cpp
+++ b/tests/platform/process/router_logger_test.cpp
@@ -176,7 +176,7 @@
   observer_->onEndpointRestarted({id, 2'001'000, 20'018'000, 9});
   EXPECT_EQ(lines().back().dump(),
             R"({"event":"engine-restarted","engine":"engine-a","reported_start_ms":1764688500123,)"
-            R"("start_age_ms":2001,"previous_start_age_ms":20018,"kv_kept":9})");
+            R"("start_age_ms":2001,"kv_kept":9,"previous_start_age_ms":20018})");
 }
 
 // The routing policy identifies endpoints by number; log lines contain their names.
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -38,6 +38,11 @@
   std::function<void()> onCompletionHook;
 };
 
+struct RestartRecorder final : Observer {
+  void onEndpointRestarted(const EndpointRestartEvent& event) override { restarts.push_back(event); }
+  std::vector<EndpointRestartEvent> restarts;
+};
+
 class RouterTest : public testing::Test {
  protected:
   static Options options() {
@@ -94,7 +99,7 @@
 
   ManualTimers timers;
   ManualEngines engines;
-  Observer observer;
+  RestartRecorder observer;
   Router router;
 };
 
@@ -219,6 +224,21 @@
 
 INSTANTIATE_TEST_SUITE_P(StartAges, ReportedRestartTest, testing::Values(0, 15'000, 20'000, 2'000'000));
 
+// The first list of discovery can date the starts of a stored copy earlier. Prevents this from being logged
+// as a restart of every endpoint.
+TEST_F(RouterTest, ReportsOnlyLaterStartsAsRestarts) {
+  reportStart(timers.time - 2'000'000);
+  ASSERT_EQ(observer.restarts.size(), 1u);  // it was listed as started long ago
+  EXPECT_FALSE(observer.restarts[0].previousStartAge);
+  reportStart(timers.time - 60'000'000);
+  EXPECT_EQ(observer.restarts.size(), 1u);
+  reportStart(timers.time - 1'000'000);
+  ASSERT_EQ(observer.restarts.size(), 2u);
+  EXPECT_EQ(observer.restarts[1].endpoint, EndpointId{1});
+  EXPECT_EQ(observer.restarts[1].startAge, 1'000'000);
+  EXPECT_EQ(observer.restarts[1].previousStartAge, 60'000'000);
+}
+
 // Prevents a release from being dropped when the endpoint list reports a restart while no engine has
 // confirmed it yet.
 TEST_F(RouterTest, RetriesAFailedReleaseAfterARestartWasReported) {
