--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -228,7 +228,7 @@
     next();
   }
   void onProbeEnded(EndpointId, bool, const std::optional<LoadReport>&) override {}
-  void onReleaseEnded(EndpointId, RequestId, bool) override {}
+  void onReleaseEnded(const routing::ReleaseCall&, bool) override {}
   net::Loop& loop_;
   std::uint64_t total_;
   std::size_t concurrency_;
