--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 paths=("$@")
-((${#paths[@]})) || paths=(src/config src/log src/policy src/routing src/membership src/deployment_config src/simulator_adapter src/platform src/engine src/net src/timing src/common)
+((${#paths[@]})) || paths=(src/config src/log src/policy src/routing src/membership src/deployment_config src/simulator_adapter src/platform src/engine src/net src/timing src/common src/http1)
 output=$(mktemp -d)
 trap 'rm -rf "$output"' EXIT
 warnings=$({
--- a/scripts/check-tidy.sh
+++ b/scripts/check-tidy.sh
@@ -6,7 +6,7 @@
 build=$1
 shift
 # Packages that are finished, and the rest, which is named so that nobody takes it for checked.
-finished=(src/config src/log src/policy src/routing src/membership src/deployment_config src/simulator_adapter src/platform src/engine src/net src/timing src/common)
+finished=(src/config src/log src/policy src/routing src/membership src/deployment_config src/simulator_adapter src/platform src/engine src/net src/timing src/common src/http1)
 pending=()
 for folder in src/*/; do
   folder=${folder%/}
