--- a/tests/process/kv_release_test.cpp
+++ b/tests/process/kv_release_test.cpp
@@ -262,6 +262,35 @@
   expectReleaseFromNow("told-late");
 }
 
+// The engine restarts twice, and the list reports the first start after the second one took place. Prevents
+// the report of a start that is no longer the latest from dropping the reservations of requests that wait.
+TEST_F(KvReleaseAfterListChangeTest, ReleasesAStateWhoseEndpointIsReportedToHaveStartedTwice) {
+  const auto client = startWaitingRequest("told-twice");
+  const std::size_t lists = harness.linesWith(R"("event":"endpoint-list")");
+  harness.discovery.publish(listText(2, false, prefillEntry(unixMilliseconds() - 3000)));
+  waitForList(lists + 1);
+  harness.discovery.publish(listText(3, false, prefillEntry(unixMilliseconds() - 2000)));
+  waitForList(lists + 2);
+  client->stream.close();
+  expectReleaseFromNow("told-twice");
+}
+
+// A list that is older than the start of the engine is followed by the current one again. Prevents the known
+// start from counting as a restart that takes place then.
+TEST_F(KvReleaseAfterListChangeTest, ReleasesAStateOfAnEndpointWhoseStartAnOlderListTookBack) {
+  const std::int64_t latestStart = unixMilliseconds();
+  harness.discovery.list = fullList(2, latestStart);
+  const auto client = startWaitingRequest("taken-back");
+  harness.pass(2500 * kMillisecond);
+  const std::size_t lists = harness.linesWith(R"("event":"endpoint-list")");
+  harness.discovery.publish(fullList(1, minutesAgo));
+  waitForList(lists + 1);
+  harness.discovery.publish(fullList(2, latestStart));
+  waitForList(lists + 2);
+  client->stream.close();
+  expectReleaseFromNow("taken-back");
+}
+
 // One whole list lacks the engine, the next one has it again with the same start. Prevents an endpoint that
 // never restarted from losing the reservations of requests that wait.
 TEST_F(KvReleaseAfterListChangeTest, ReleasesAStateOfAnEndpointThatWasMissingFromOneList) {
