Review: a client that asks again at once takes the router over its memory limit

Case 6 (entry: the first review's 'Timers of refused requests'): four bad clients send requests that are refused at once, and the same again. Each refused request leaves its deadline timer standing; with 12 s told the router passes 32 MB after some four seconds and is killed, with usual requests under way.

--- a/review/peers2.py
+++ b/review/peers2.py
@@ -3,7 +3,7 @@
 They follow PROTOCOL.md and DEPLOY.md of the users' pages. Standard library only, loopback addresses only.
 Times are seconds on CLOCK_MONOTONIC, which all processes of a machine share.
 
-As a program: `peers2.py engine JSON` runs one engine as a process of its own, so that a case can stop it.
+As a program: `peers2.py engine JSON` runs one engine, `peers2.py repeat JSON` one client that asks again at once.
 """
 import json
 import os
@@ -474,6 +474,12 @@
         wait_for_port(options["port"])
         return child
 
+    def start_repeating(self, options):
+        child = subprocess.Popen([sys.executable, os.path.abspath(__file__), "repeat", json.dumps(options)],
+                                 stdin=subprocess.DEVNULL, stdout=subprocess.PIPE)
+        self.children.append(child)
+        return child
+
     def start_router(self, config, log_level="info"):
         name = config["name"]
         path = os.path.join(self.folder, name + ".json")
@@ -626,6 +632,30 @@
     os._exit(code)
 
 
+def repeat(options):
+    """A bad client: it sends so many requests at once, reads all answers, and sends the same again at once."""
+    request, count = options["request"].encode() * options["at_once"], 0
+    try:
+        sock = socket.create_connection(("127.0.0.1", options["port"]), timeout=5)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        while now() < options["until"]:
+            sock.sendall(request)
+            missing, rest = options["at_once"], b""
+            while missing > 0:
+                data = sock.recv(1 << 20)
+                if not data:
+                    raise Closed("end")
+                data = rest + data
+                missing -= data.count(b"HTTP/1.1 ")
+                rest = data[-8:] if not data.endswith(b"HTTP/1.1 ") else b""
+            count += options["at_once"]
+    except (OSError, Closed):
+        pass
+    print(count)
+
+
+if __name__ == "__main__" and sys.argv[1:2] == ["repeat"]:
+    repeat(json.loads(sys.argv[2]))
 if __name__ == "__main__" and sys.argv[1:2] == ["engine"]:
     Engine(json.loads(sys.argv[2]))
     while os.getppid() != 1:
