Review stand-ins end their processes when the test is ended from outside

SIGTERM came twice from timeout, and the second one stood still inside the first; the record's lock could do the same.

--- a/review/peers2.py
+++ b/review/peers2.py
@@ -30,7 +30,7 @@
         self.path = path
         self.start = now()
         self.events = []
-        self.lock = threading.Lock()
+        self.lock = threading.RLock()
 
     def add(self, who, what, at=None, **fields):
         event = {"at": now() if at is None else at, "who": who, "what": what, **fields}
@@ -465,7 +465,11 @@
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review2-")
         self.children = []
-        signal.signal(signal.SIGTERM, lambda number, frame: finish(self, record, 2, "could not run: out of time"))
+        signal.signal(signal.SIGTERM, self.out_of_time)
+
+    def out_of_time(self, number, frame):
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)   # `timeout` signals the whole group, so it comes twice
+        finish(self, self.record, 2, "could not run: out of time")
 
     def start_engine(self, options):
         child = subprocess.Popen([sys.executable, os.path.abspath(__file__), "engine", json.dumps(options)],
