--- a/review/8/case.py
+++ b/review/8/case.py
@@ -59,8 +59,7 @@
         told = p.now()
         router = platform.start_router(dict(config, seed="77c2d1e4a9b06f35"))
         record.add("n1", "told", engine=drained, how="the agent has it from the first moment of the process")
-        until = p.now() + OUTAGE_S
-        while not p.is_ready(address) and p.now() < until:
+        while not p.is_ready(address) and p.now() < back:
             time.sleep(0.02)
         if p.is_ready(address):
             record.add("n1", "ready")
