Keep the release time running when a silent new connection breaks

Cause: AttemptRunner::onAttemptEnded took every attempt that was written on a new connection and then reset for arrived, and restarted the release time of all states of the request, also of those that an earlier prefill left.

Change: the result of an attempt tells whether any byte came in return (AttemptResult::anyBytesReceived in place of anyBytesSent; ExchangeFailure in place of three arguments); without one the time runs on. What an abandoned prefill itself left counts from its end: it exists only if that prefill had arrived. Two router tests now say that their resets came without a byte, as those on sockets do.

--- a/src/engine/attempt_exchange.h
+++ b/src/engine/attempt_exchange.h
@@ -16,12 +16,13 @@
 /// first.
 class AttemptExchange : public Exchange {
  public:
-  void onFailed(Outcome outcome, const std::string& text, bool reusedConnection) override {
-    result_.reusedConnection = reusedConnection;
-    finish(outcome, text);
+  void onFailed(const ExchangeFailure& failure) override {
+    result_.reusedConnection = failure.reusedConnection;
+    result_.anyBytesReceived = failure.anyBytesReceived;
+    finish(failure.outcome, failure.text);
   }
   void onNotSent(const std::string& text) override {
-    result_.anyBytesSent = false;
+    result_.anyBytesReceived = false;
     finish(Outcome::rejected, text);
   }
   void detach() override { isFinished_ = true; }
--- a/src/engine/connection.cpp
+++ b/src/engine/connection.cpp
@@ -134,9 +134,10 @@
 
 void Connection::fail(Outcome outcome, const std::string& text, bool reusedConnection) {
   if (!hasReceivedBytes_) owner_.onResponsiveness(*this, false);
+  const ExchangeFailure failure{outcome, text, reusedConnection, hasReceivedBytes_};
   const auto exchange = std::move(exchange_);
   finish(false);
-  if (exchange) exchange->onFailed(outcome, text, reusedConnection);
+  if (exchange) exchange->onFailed(failure);
 }
 
 void Connection::failNotSent(const std::string& text) {
--- a/src/engine/control_exchange.cpp
+++ b/src/engine/control_exchange.cpp
@@ -45,8 +45,6 @@
   if (!std::exchange(isFinished_, true)) done_(status_, body_);
 }
 
-void DocumentExchange::onFailed(Outcome, const std::string&, bool) { finishWithoutDocument(); }
-
 void DocumentExchange::finishWithoutDocument() {
   status_ = 0;
   body_.clear();
--- a/src/engine/control_exchange.h
+++ b/src/engine/control_exchange.h
@@ -21,7 +21,7 @@
   bool onHead(const http1::Head& head) override;
   bool onBody(std::string_view bytes) override;
   void onEnd() override { finish(status_); }
-  void onFailed(Outcome, const std::string&, bool) override { finish(0); }
+  void onFailed(const ExchangeFailure&) override { finish(0); }
   void onNotSent(const std::string&) override { finish(0); }
   void detach() override { isFinished_ = true; }
 
@@ -47,8 +47,8 @@
   bool onHead(const http1::Head& head) override;
   bool onBody(std::string_view bytes) override;
   void onEnd() override;
-  void onFailed(Outcome outcome, const std::string& text, bool reusedConnection) override;
-  void onNotSent(const std::string& text) override { onFailed(Outcome::connectFailed, text, false); }
+  void onFailed(const ExchangeFailure&) override { finishWithoutDocument(); }
+  void onNotSent(const std::string&) override { finishWithoutDocument(); }
   void detach() override { isFinished_ = true; }
 
  private:
--- a/src/engine/exchange.h
+++ b/src/engine/exchange.h
@@ -23,6 +23,17 @@
   return [text = std::move(text)](Micros) { return text; };
 }
 
+/// Why a response will never be complete.
+struct ExchangeFailure {
+  Outcome outcome = Outcome::error;  ///< How the exchange failed.
+  std::string text;                  ///< Description of the failure, for the log.
+  /// Whether the connection was reused and broke before any response byte; that concerns the connection and
+  /// is not evidence against the engine.
+  bool reusedConnection = false;
+  /// Whether any byte of a response was received; without one, the request may never have arrived.
+  bool anyBytesReceived = false;
+};
+
 /// Handles the response to one request. Exactly one of onEnd, onFailed and onNotSent is called, and no other
 /// method after it, unless onHead or onBody returned false or the exchange was detached.
 class Exchange {
@@ -35,11 +46,7 @@
   /// The response is complete.
   virtual void onEnd() = 0;
   /// The response will never be complete.
-  /// @param outcome how the exchange failed
-  /// @param text description of the failure, for the log
-  /// @param reusedConnection whether the connection was reused and broke before any response byte; that
-  ///     concerns the connection and is not evidence against the engine
-  virtual void onFailed(Outcome outcome, const std::string& text, bool reusedConnection) = 0;
+  virtual void onFailed(const ExchangeFailure& failure) = 0;
   /// No byte was sent because of a local failure, which is not evidence against the engine.
   /// @param text the reason, for the log
   virtual void onNotSent(const std::string& text) = 0;
--- a/src/engine/pooled_engine_client.cpp
+++ b/src/engine/pooled_engine_client.cpp
@@ -12,7 +12,7 @@
   const std::string_view text = isFull ? poolFullText : "no address of the engine";
   pool_.post([this, id = attempt.attempt, isFull, text = std::string(text)] {
     events_->onAttemptEnded(id, {.outcome = isFull ? Outcome::rejected : Outcome::connectFailed,
-                                 .anyBytesSent = false,
+                                 .anyBytesReceived = false,
                                  .text = text});
   });
   return nullptr;
--- a/src/routing/attempt_runner.cpp
+++ b/src/routing/attempt_runner.cpp
@@ -139,8 +139,7 @@
     return;
   }
   const InFlightAttempt attempt = takeAttempt(*active);
-  const bool wasDelivered =
-      result.anyBytesSent && result.outcome != Outcome::connectFailed && !result.reusedConnection;
+  const bool wasDelivered = result.anyBytesReceived && result.outcome != Outcome::connectFailed;
   if (wasDelivered) deps_.reservations.tracker().onAttemptEnded(id.request, context_.timers.now());
   if (mayContinueAtEngine(attempt, result)) deps_.reservations.onAttemptAbandoned(id.request, attempt);
   ++context_.counters.outcomes[result.outcome];
--- a/src/routing/engine_client.h
+++ b/src/routing/engine_client.h
@@ -59,7 +59,7 @@
   bool kvStateMissing = false;         ///< There was no KV state to fetch.
   bool reusedConnection = false;       ///< A reused connection broke before any byte of a response.
   bool badRequest = false;             ///< Nothing ran, and no engine would accept the request.
-  bool anyBytesSent = true;            ///< False: the router sent no byte of it.
+  bool anyBytesReceived = true;        ///< False: no byte came in return, so it may never have arrived.
   std::optional<LoadReport> report{};  ///< The engine's load, if it reports one.
   std::string kvTransferParams{};      ///< Completed prefill: KV transfer parameters, as JSON text.
   FinishReason finishReason = FinishReason::stop;  ///< Completed: why the response ended.
--- a/src/routing/kv_reservation_tracker.cpp
+++ b/src/routing/kv_reservation_tracker.cpp
@@ -60,12 +60,14 @@
 void KvReservationTracker::onPrefillAbandoned(RequestId request, EndpointId endpoint,
                                               const AbandonedAttempt& attempt) {
   const Key key{request, endpoint};
-  if (const auto item = reservations_.find(key); item != reservations_.end())
+  if (const auto item = reservations_.find(key); item != reservations_.end()) {
     item->second.abandonedPrefills.add(attempt);
-  else if (const auto release = releases_.find(key); release != releases_.end())
+    if (!item->second.hasEarlierPrefill) item->second.idleSince = attempt.at;
+  } else if (const auto release = releases_.find(key); release != releases_.end()) {
     release->second.abandonedPrefills.add(attempt);
-  else
+  } else {
     return;
+  }
   report(KvReservationChange::prefillAbandoned, key);
 }
 
--- a/src/routing/kv_reservation_tracker.h
+++ b/src/routing/kv_reservation_tracker.h
@@ -75,7 +75,8 @@
   /// Records that the prefill left no state: the endpoint rejected it, or was never reached.
   void onNoReservation(RequestId request, EndpointId endpoint);
   /// Records that the prefill was cancelled, or its response was lost: the engine may continue and leave
-  /// state later.
+  /// state later. The release timeout of its own state restarts: either the prefill had reached the endpoint
+  /// until now, or it left no state.
   void onPrefillAbandoned(RequestId request, EndpointId endpoint, const AbandonedAttempt& attempt);
   /// Records that a decode attempt was abandoned before its first token. It may still wait for the state, in
   /// which case release calls do not free it.
--- a/tests/engine/connection_pool_test.cpp
+++ b/tests/engine/connection_pool_test.cpp
@@ -299,7 +299,7 @@
       {.attempt = {{2}, 0}, .endpoint = {7}, .request = &request, .traceId = "y", .timeout = 1'000'000});
   ASSERT_TRUE(runner.until([&] { return !attemptRecorder.results.empty(); }, 1'000'000));
   EXPECT_EQ(attemptRecorder.results[0].outcome, Outcome::rejected);
-  EXPECT_FALSE(attemptRecorder.results[0].anyBytesSent);
+  EXPECT_FALSE(attemptRecorder.results[0].anyBytesReceived);
   engineClient.cancel({{1}, 0});
 }
 
--- a/tests/fuzz/codecs.cpp
+++ b/tests/fuzz/codecs.cpp
@@ -182,7 +182,7 @@
         succeeded = parser.receive(input.substr(i, 1));
     else
       succeeded = parser.receive(input);
-    engineExchange.onFailed(Outcome::connectionReset, "", false);
+    engineExchange.onFailed({.outcome = Outcome::connectionReset});
     require(recorded.endCount == 1);
     traces[bytewise ? 1 : 0] = recorded.trace;
   }
--- a/tests/platform/relay_exchange_test.cpp
+++ b/tests/platform/relay_exchange_test.cpp
@@ -66,7 +66,7 @@
   relay.onHead(responseHead(200));
   relay.onBody("data: {\"a\":1}\n\ndata: {\"b\"");
   EXPECT_EQ(recorded.forwardedEvents, "data: {\"a\":1}\n\n");
-  relay.onFailed(Outcome::connectionReset, "gone", false);
+  relay.onFailed({.outcome = Outcome::connectionReset, .text = "gone"});
   EXPECT_EQ(recorded.endCallbackCount, 1);
   EXPECT_EQ(recorded.result.outcome, Outcome::connectionReset);
 }
--- a/tests/process/kv_release_test.cpp
+++ b/tests/process/kv_release_test.cpp
@@ -193,6 +193,16 @@
   EXPECT_EQ(harness.linesWith(R"("event":"kv-release-due")"), 1u);
 }
 
+// Guards against a release time that starts anew with each silent connection: the first one is reset before
+// the release is due, and the second one stays silent.
+TEST_P(SilentNewConnectionTest, AResetOfASilentNewConnectionDoesNotRestartTheReleaseTimeout) {
+  ASSERT_NO_FATAL_FAILURE(startSilentDecode("reset", "chat"));
+  harness.loop.after(prefilledAt + 430 * kMillisecond - harness.loop.now(),
+                     [this] { harness.decodeEngine.seen.back().stream->close(true); });
+  expectReleaseAfterPrefill("reset");
+  EXPECT_EQ(harness.decodeEngine.count("POST"), 2u);
+}
+
 INSTANTIATE_TEST_SUITE_P(Probes, SilentNewConnectionTest, testing::Bool());
 
 // One engine accepts releases and answers none. Few connections are available for releases, so the releases
--- a/tests/routing/kv_reservation_tracker_test.cpp
+++ b/tests/routing/kv_reservation_tracker_test.cpp
@@ -104,6 +104,22 @@
   EXPECT_FALSE(tracker.isTracking({2}));
 }
 
+// Guards against an abandoned prefill that restarts the timeout of what earlier ones left, though it may
+// never have arrived. Its own state exists only if it had arrived, and counts from its end.
+TEST(KvReservationTracker, AnAbandonedPrefillRestartsTheTimeoutOfItsOwnStateOnly) {
+  KvReservationTracker tracker({});
+  tracker.onPrefillSent({1}, {7}, 0);
+  tracker.onPrefillAbandoned({1}, {7}, {.at = 400'000, .remainingTimeout = 0});
+  EXPECT_EQ(tracker.releaseDueAt({1}), 900'000);
+  tracker.onPrefillSent({1}, {8}, 410'000);
+  tracker.onPrefillAbandoned({1}, {8}, {.at = 800'000, .remainingTimeout = 0});
+  EXPECT_EQ(tracker.releaseDueAt({1}), 900'000);  // of the first one
+  // The earlier prefill may have left state at this endpoint, too.
+  tracker.onPrefillSent({1}, {7}, 810'000);
+  tracker.onPrefillAbandoned({1}, {7}, {.at = 850'000, .remainingTimeout = 0});
+  EXPECT_EQ(tracker.releaseDueAt({1}), 900'000);
+}
+
 // A prefill may be on a dead connection: state left by earlier prefills is released, and the prefill
 // continues.
 TEST(KvReservationTracker, ReleasesStateOfEarlierPrefillsWhileAnotherIsInFlight) {
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -328,7 +328,7 @@
          elapsed += 1'000)
       timers.advance(1'000);
     if (latestAttempt.phase == Phase::decode)
-      router.onAttemptEnded(latestAttempt.attempt, {.outcome = Outcome::rejected, .anyBytesSent = false});
+      router.onAttemptEnded(latestAttempt.attempt, {.outcome = Outcome::rejected, .anyBytesReceived = false});
   }
   ASSERT_FALSE(engines.releasedReservations.empty());
   EXPECT_LE(timers.time - prefilledAt, 510'000);
@@ -363,8 +363,9 @@
   EXPECT_EQ(engines.startedAttempts.back().phase, Phase::decode);  // another decode may fetch the state
   EXPECT_TRUE(engines.releasedReservations.empty());
   timers.advance(600'000);
-  router.onAttemptEnded(engines.startedAttempts.back().attempt,
-                        {.outcome = Outcome::connectionReset, .reusedConnection = true});
+  router.onAttemptEnded(
+      engines.startedAttempts.back().attempt,
+      {.outcome = Outcome::connectionReset, .reusedConnection = true, .anyBytesReceived = false});
   // The decode may never have arrived, and the release is due.
   EXPECT_EQ(engines.releasedReservations.size(), 1u);
   EXPECT_EQ(engines.startedAttempts.back().phase, Phase::prefill);
@@ -382,7 +383,8 @@
   timers.advance(10'000);
   const Micros failedAt = timers.time;
   const EndpointId first = engines.startedAttempts.back().endpoint;
-  router.onAttemptEnded(engines.startedAttempts.back().attempt, {.outcome = Outcome::connectionReset});
+  router.onAttemptEnded(engines.startedAttempts.back().attempt,
+                        {.outcome = Outcome::connectionReset, .anyBytesReceived = false});
   ASSERT_EQ(engines.startedAttempts.size(), 2u);
   EXPECT_EQ(engines.startedAttempts.back().phase, Phase::prefill);
   ASSERT_NE(engines.startedAttempts.back().endpoint, first);
--- a/tests/support/pool_peers.h
+++ b/tests/support/pool_peers.h
@@ -28,7 +28,7 @@
     return true;
   }
   void onEnd() override { ++response.completions; }
-  void onFailed(Outcome outcome, const std::string&, bool) override { response.failure = outcome; }
+  void onFailed(const engine::ExchangeFailure& failure) override { response.failure = failure.outcome; }
   void onNotSent(const std::string&) override { response.failure = Outcome::rejected; }
   void detach() override {}
   RecordedResponse& response;
