Do not use a stored endpoint list before discovery confirms it

Cause: RouterProcess published the stored list at its start, and isReady took it for good after kInitialListTimeout (0.5 s). A request that came before the router was ready was routed by it as well.

Change: EndpointPublisher publishes the stored list only once a list, or a keep-alive of a watch from its revision, has come; until then the router knows no engine, is not ready and rejects at once. The first connection to an agent that stays silent gets another one beside it after 1 s.

--- a/src/platform/discovery/watch.cpp
+++ b/src/platform/discovery/watch.cpp
@@ -36,10 +36,10 @@
   scheduleNextStep();
 }
 
-// A silent session that has delivered lists before is broken; one that has not may only be slow to respond.
+// A silent session that has answered before is broken; one that has not may only be slow to respond.
 void Watch::keepCurrentAsLate() {
   if (!current_) return;
-  if (current_->hasReceivedMessage()) return discard(std::move(current_));
+  if (current_->hasAnswered()) return discard(std::move(current_));
   lateSessions_.push_back(std::move(current_));
   if (lateSessions_.size() <= kMaxLateSessions) return;
   discard(std::move(lateSessions_.front()));
@@ -80,17 +80,17 @@
 
 void Watch::onDataReceived(WatchSession& session) {
   if (&session != current_.get()) {
-    if (!session.hasReceivedMessage()) return;
+    if (!session.hasAnswered()) return;
     promote(session);
-  } else if (session.hasReceivedMessage()) {
+  } else if (session.hasAnswered()) {
     discardLateSessions();
   }
-  if (session.hasReceivedMessage() && !session.isInsideMessage()) listener_.onWatchAlive();
+  if (session.hasAnswered() && !session.isInsideMessage()) listener_.onWatchAlive();
   policy_.onDataReceived(loop_.now(), session.isInsideMessage());
   scheduleNextStep();
 }
 
-// A late session has delivered its list: it becomes the current session, and all others are closed.
+// A late session has answered: it becomes the current session, and all others are closed.
 void Watch::promote(const WatchSession& session) {
   if (current_) discard(std::move(current_));
   const auto found = std::find_if(lateSessions_.begin(), lateSessions_.end(),
--- a/src/platform/discovery/watch.h
+++ b/src/platform/discovery/watch.h
@@ -3,8 +3,8 @@
 /// response ends, it is requested again from the revision known at that time.
 ///
 /// A slow or overloaded discovery may respond only after a silent session has timed out. A session that has
-/// not delivered a list yet is therefore kept open alongside the next one; the first session that delivers a
-/// list becomes the current one, and the others are closed.
+/// not answered yet is therefore kept open alongside the next one; the first session that answers becomes the
+/// current one, and the others are closed.
 #pragma once
 
 #include <cstdint>
@@ -33,7 +33,7 @@
     virtual void onWatchError(const std::string& address, const WatchError& error) = 0;
     /// Returns the known revision of the list, from which the next session starts.
     virtual std::int64_t currentListVersion() const = 0;
-    /// Data was received on a session that has delivered a list, and no list is incomplete: the known list is
+    /// Data was received on a session that has answered, and no list is incomplete: the known list is
     /// current.
     virtual void onWatchAlive() = 0;
   };
@@ -73,7 +73,7 @@
   WatchPolicy policy_;
   timing::Alarm alarm_;
   SessionPointer current_;
-  std::deque<SessionPointer> lateSessions_;  // timed out before delivering a list; oldest first
+  std::deque<SessionPointer> lateSessions_;  // timed out before an answer; oldest first
 };
 
 }  // namespace garnethook::platform
--- a/src/platform/discovery/watch_policy.cpp
+++ b/src/platform/discovery/watch_policy.cpp
@@ -13,7 +13,8 @@
 void WatchPolicy::onConnecting(Micros now) {
   isConnected_ = true;
   messageStartedAt_.reset();
-  nextStepAt_ = now + options_.silenceTimeout;
+  const bool isFirst = std::exchange(isFirstConnection_, false);
+  nextStepAt_ = now + (isFirst ? options_.firstResponseTimeout : options_.silenceTimeout);
 }
 
 void WatchPolicy::onDataReceived(Micros now, bool isInsideMessage) {
--- a/src/platform/discovery/watch_policy.h
+++ b/src/platform/discovery/watch_policy.h
@@ -25,6 +25,10 @@
     /// connection is dead or discovery is down. A reconnect is cheap: one connection to an agent on this
     /// host, which responds with its complete list.
     Micros silenceTimeout = 2'400'000;
+    /// Maximum time without data on the first connection to an address. The agent responds at once unless
+    /// discovery is down, so a longer silence most likely concerns this connection only; the next one is
+    /// opened beside it.
+    Micros firstResponseTimeout = 1'000'000;
     /// Maximum time from the start of a list to its end. A truncated list would absorb the lists that follow
     /// it for as long as keep-alives arrive.
     Micros messageTimeout = 4'800'000;
@@ -60,7 +64,10 @@
   void onInvalidMessage() { receivedInvalidMessage_ = true; }
 
   /// The address has changed; the new address has not failed yet.
-  void onAddressChanged() { consecutiveFailures_ = 0; }
+  void onAddressChanged() {
+    consecutiveFailures_ = 0;
+    isFirstConnection_ = true;
+  }
 
   /// Returns the next action, unless another event occurs first.
   Step nextStep() const { return isConnected_ ? Step::close : Step::connect; }
@@ -75,6 +82,7 @@
   std::optional<Micros> messageStartedAt_;
   int consecutiveFailures_ = 0;
   bool receivedInvalidMessage_ = false;
+  bool isFirstConnection_ = true;  // to the current address
 };
 
 }  // namespace garnethook::platform
--- a/src/platform/discovery/watch_session.cpp
+++ b/src/platform/discovery/watch_session.cpp
@@ -68,12 +68,13 @@
   const bool isWithinLimit = splitter_.receive(bytes, [this](std::string_view text) {
     if (error_ || isClosed_) return;
     if (listener_.onMessage(*this, text))
-      hasReceivedMessage_ = true;
+      hasAnswered_ = true;
     else
       error_ = WatchError{WatchErrorCode::invalidMessage};
   });
   if (!isWithinLimit) error_ = WatchError{WatchErrorCode::messageTooLong};
-  if (error_) parser_.stop();
+  if (error_) return parser_.stop();
+  if (!isInsideMessage()) hasAnswered_ = true;
 }
 
 }  // namespace garnethook::platform
--- a/src/platform/discovery/watch_session.h
+++ b/src/platform/discovery/watch_session.h
@@ -46,8 +46,9 @@
   /// Whether an object has started but is not complete.
   bool isInsideMessage() const { return splitter_.isInsideObject(); }
 
-  /// Whether a valid object has been received.
-  bool hasReceivedMessage() const { return hasReceivedMessage_; }
+  /// Whether discovery has sent a complete valid object, or a keep-alive, which says that nothing has changed
+  /// since the revision that the session started from.
+  bool hasAnswered() const { return hasAnswered_; }
 
  private:
   void onConnected() override;
@@ -64,7 +65,7 @@
   JsonObjectSplitter splitter_;
   http1::MessageParser parser_;
   std::optional<WatchError> error_;  // detected during parsing; reported after the parser returns
-  bool hasReceivedMessage_ = false;
+  bool hasAnswered_ = false;
   bool isClosed_ = false;
   net::Stream stream_;
 };
--- a/src/platform/process/endpoint_publisher.cpp
+++ b/src/platform/process/endpoint_publisher.cpp
@@ -13,20 +13,36 @@
 
 void EndpointPublisher::restore(const membership::EndpointMap& endpoints, std::int64_t version) {
   list_.restore(endpoints, version);
-  publish({EndpointUpdate::Kind::staleCopy, list_.endpoints()});
+  logger_.logStoredList(list_);
+}
+
+void EndpointPublisher::publishUnconfirmed() {
+  if (!hasPublished_) publishFirst(EndpointUpdate::Kind::staleCopy);
 }
 
 void EndpointPublisher::onListUpdate(const EndpointListUpdate& update) {
-  hasReceivedList_ = true;
   logger_.logEntryErrors(update.errors);
-  if (const auto change = list_.apply(update)) publish(*change);
+  const auto change = list_.apply(update);
+  if (!hasPublished_)
+    publishFirst(EndpointUpdate::Kind::snapshot);
+  else if (change)
+    publish(*change);
 }
 
 void EndpointPublisher::onWatchError(const std::string& address, const WatchError& error) {
   logger_.logWatchError(address, error);
 }
 
-void EndpointPublisher::onWatchAlive() { startTimes_.recordContact(loop_.now()); }
+void EndpointPublisher::onWatchAlive() {
+  if (!hasPublished_) publishFirst(EndpointUpdate::Kind::snapshot);
+  startTimes_.recordContact(loop_.now());
+}
+
+// Consumers have no list yet, so they get the whole one, even if discovery has sent a delta.
+void EndpointPublisher::publishFirst(EndpointUpdate::Kind kind) {
+  hasPublished_ = true;
+  publish({kind, list_.endpoints()});
+}
 
 // Updates the engine client before the router, since the router may send requests immediately.
 void EndpointPublisher::publish(const EndpointListChange& change) {
--- a/src/platform/process/router_logger.cpp
+++ b/src/platform/process/router_logger.cpp
@@ -53,6 +53,10 @@
     log_.warn("endpoint-list", {{"error", cause}, {"entries", entries}});
 }
 
+void RouterLogger::logStoredList(const EndpointList& list) {
+  log_.info("stored-list", {{"version", list.version()}, {"endpoints", list.endpoints().size()}});
+}
+
 void RouterLogger::logEndpointList(const EndpointListChange& change, const EndpointList& list) {
   for (const auto& [name, endpoint] : change.entries)
     endpoints_[endpoint.id.value] = {name, endpoint.startedAt};
--- a/src/platform/process/router_logger.h
+++ b/src/platform/process/router_logger.h
@@ -26,6 +26,9 @@
   /// Logs the unusable entries of a list: one line per cause, with the number of entries.
   void logEntryErrors(const std::vector<EntryError>& errors);
 
+  /// Logs the stored copy of an earlier list, which is not in use yet.
+  void logStoredList(const EndpointList& list);
+
   /// Logs a change of the endpoint list, and stores the endpoint names for later lines.
   void logEndpointList(const EndpointListChange& change, const EndpointList& list);
 
--- a/src/platform/process/router_process.cpp
+++ b/src/platform/process/router_process.cpp
@@ -30,7 +30,7 @@
       engineClient_(loop, makeEngineOptions(config_, budget_), config_.deployment.report,
                     config_.deployment.settings.kvReleaseTimeout, ownZoneName(config_.deployment)),
       statusAlarm_(loop),
-      startedAt_(loop.now()) {
+      unconfirmedListAlarm_(loop) {
   startRouting();
   startFrontend();
   loop_.onTaskFailed([this](const std::string& what) { logger_.onActionFailed(what); });
@@ -54,6 +54,7 @@
       engineClient_, *router_, logger_);
   endpointPublisher_->restore(config_.lastKnownEndpoints, config_.lastKnownVersion);
   watch_ = std::make_unique<Watch>(loop_, config_.discoveryAddress, *endpointPublisher_);
+  unconfirmedListAlarm_.start(kUnconfirmedListTimeout, [this] { endpointPublisher_->publishUnconfirmed(); });
 }
 
 void RouterProcess::startFrontend() {
@@ -86,10 +87,9 @@
   statusAlarm_.start(kStatusInterval, [this] { logStatus(); });
 }
 
-// A router with a stored list becomes ready after kInitialListTimeout even without a list from discovery.
+// Before a list is published, requests are rejected at once: the router knows no endpoint to send them to.
 bool RouterProcess::isReady() const {
-  if (shutdown_->hasBegun() || endpointList().endpoints().empty()) return false;
-  return endpointPublisher_->hasReceivedList() || loop_.now() - startedAt_ >= kInitialListTimeout;
+  return !shutdown_->hasBegun() && endpointPublisher_->hasPublished() && !endpointList().endpoints().empty();
 }
 
 void RouterProcess::reload(const PlatformConfig& config) {
--- a/src/platform/process/router_process.h
+++ b/src/platform/process/router_process.h
@@ -66,7 +66,7 @@
   std::unique_ptr<GracefulShutdown> shutdown_;
   std::unique_ptr<Watch> watch_;
   timing::Alarm statusAlarm_;
-  Micros startedAt_;
+  timing::Alarm unconfirmedListAlarm_;
 };
 
 }  // namespace garnethook::platform
--- a/src/platform/process/timeouts.h
+++ b/src/platform/process/timeouts.h
@@ -8,8 +8,9 @@
 
 namespace garnethook::platform {
 
-/// A router that starts with a stored list becomes ready after this time even if discovery has sent no list.
-inline constexpr Micros kInitialListTimeout = 500'000;
+/// A router that starts with a stored list uses it after this time even if discovery has not confirmed it.
+/// The platform takes a router that is not ready 30 s after its start for crashed.
+inline constexpr Micros kUnconfirmedListTimeout = 28'000'000;
 
 /// How long new connections are accepted after the signal to stop, since the load balancer may still send
 /// some until it notices that the router is not ready.
--- a/tests/soak/oracle_test.cpp
+++ b/tests/soak/oracle_test.cpp
@@ -216,6 +216,32 @@
   EXPECT_EQ(violatedRules(), Rules{"drain"});
 }
 
+// Guards against an excuse for processes that start during an outage of discovery with a stored list.
+TEST_F(OracleTest, DrainThatDiscoveryHadBeforeAProcessStartedCountsAsToldFromItsStart) {
+  plan.length = 20 * kSecond;
+  plan.plannedFaults.push_back({"drain", "e4", 2 * kSecond, 40 * kSecond});
+  plan.plannedFaults.push_back({"quiet", "d0", 2500 * kMillisecond, 10 * kSecond});
+  logEvent(3000, "started router=r0");
+  logEvent(5900, "sent id=q class=chat router=r0 fresh=1 deadline=1500");
+  begin(5910, "e4", "1");
+  end(5950, "e4", "1", "served");
+  served(6100);
+  EXPECT_EQ(violatedRules(), Rules{"drain"});
+}
+
+// Discovery itself learns of the change only after its outage.
+TEST_F(OracleTest, DrainDuringAnOutageOfDiscoveryIsNotToldToAProcessThatStartsInIt) {
+  plan.length = 20 * kSecond;
+  plan.plannedFaults.push_back({"quiet", "d0", 2500 * kMillisecond, 10 * kSecond});
+  plan.plannedFaults.push_back({"drain", "e4", 2800 * kMillisecond, 40 * kSecond});
+  logEvent(3000, "started router=r0");
+  logEvent(5900, "sent id=q class=chat router=r0 fresh=1 deadline=1500");
+  begin(5910, "e4", "1");
+  end(5950, "e4", "1", "served");
+  served(6100);
+  EXPECT_EQ(violatedRules(), Rules());
+}
+
 TEST_F(OracleTest, NoAttemptBeginsAfterTheClientDisconnects) {
   sent();
   logEvent(1100, "left id=q");
