Answer each pipelined request that was read, also beyond the limit

Change: PipelineOverflow finds the ends of requests that are not kept, and each is rejected once those before it have been answered. Reading goes on, as it alone shows that the client has closed; leaving the rest in the socket would hide that.

--- a/src/platform/http_frontend/close_reason.h
+++ b/src/platform/http_frontend/close_reason.h
@@ -20,7 +20,7 @@
   requestTimeout,    ///< No complete request arrived within the request timeout.
   badRequest,        ///< Closed after an error response to an invalid request.
   bodyBudgetFull,    ///< Closed after a 503: the bodies of open requests use up the body budget.
-  pipelineOverflow,  ///< Pipelined input exceeded a limit; the requests buffered so far were answered.
+  pipelineOverflow,  ///< Input after the end of the connection exceeded a limit.
   unreadResponse,    ///< The client does not read its responses.
   stopped,           ///< Closed by the frontend itself.
   count_             ///< Number of reasons.
--- a/src/platform/http_frontend/http_connection.cpp
+++ b/src/platform/http_frontend/http_connection.cpp
@@ -35,6 +35,7 @@
       parser_(http1::MessageParser::Kind::request, messageLimits(), *this),
       timer_(owner.loop_),
       pipelinedInput_(owner.options_.maxPipelinedBytes, owner.pipelinedBudget_),
+      overflow_(messageLimits()),
       bodyReservation_(owner.bodyBudget_),
       lastResponseAt_(owner.loop_.now()),
       stream_(owner.loop_, socket, *this, connectedSince),
@@ -43,7 +44,7 @@
 }
 
 Activity HttpFrontend::Connection::activity() const {
-  if (isRequestOpen_ || state_ != State::open || parser_.hasPartialInput() || !pipelinedInput_.empty())
+  if (isRequestOpen_ || state_ != State::open || parser_.hasPartialInput() || hasMoreInput())
     return Activity::busy;
   return hasResponded_ ? Activity::idle : Activity::unused;
 }
@@ -55,23 +56,34 @@
     if (!lingeringClose_.discard(bytes.size())) close(CloseReason::pipelineOverflow);
     return;
   }
-  if (pipelinedInput_.hasOverflowed() || persistence_.isClosingAnnounced()) return;
-  if (isRequestOpen_ || !pipelinedInput_.empty()) return bufferInput(bytes);
+  if (persistence_.isClosingAnnounced()) return;
+  if (isRequestOpen_ || hasMoreInput()) return bufferInput(bytes);
   const std::size_t parsed = parseInput(bytes, stream_.arrival());
   if (parsed < bytes.size() && state_ == State::open && !persistence_.isClosingAnnounced())
     bufferInput(bytes.substr(parsed));
 }
 
 // Buffers input that arrives while a request is open. Reading continues, because it is the only way to detect
-// that the client has closed the connection. When a limit is reached, further input is discarded and the
-// connection is closed once the buffered requests have been answered. This bounds the memory used by
-// clients that send without waiting for responses.
+// that the client has closed the connection. When a limit is reached, further requests are only counted; they
+// are rejected once the buffered ones have been answered. This bounds the memory used by clients that send
+// without waiting for responses.
 void HttpFrontend::Connection::bufferInput(std::string_view bytes) {
-  pipelinedInput_.append(bytes, stream_.arrival().earliest);
-  if (pipelinedInput_.hasOverflowed()) persistence_.closeAfterBufferedInput();
+  if (overflow_.isActive())
+    overflow_.receive(bytes);
+  else if (!pipelinedInput_.append(bytes, stream_.arrival().earliest))
+    startOverflow(bytes);
   if (!isRequestOpen_) postServeNextRequest();
 }
 
+// A request that is stored in part counts among those that are not stored.
+void HttpFrontend::Connection::startOverflow(std::string_view bytes) {
+  std::size_t completeBytes = 0;
+  for (const PipelinedInput::Segment& segment : pipelinedInput_.segments())
+    completeBytes = overflow_.scanStored(segment.unparsed());
+  pipelinedInput_.truncate(completeBytes);
+  overflow_.receive(bytes);
+}
+
 // Returns the number of bytes parsed: all bytes, or those up to the end of a request.
 std::size_t HttpFrontend::Connection::parseInput(std::string_view bytes, const net::Arrival& arrival) {
   if (hasResponded_ && !parser_.hasPartialInput()) startRequestTimer();  // first byte of a further request
@@ -86,7 +98,9 @@
 
 // Whether input was received after the request that was just parsed or is being answered.
 bool HttpFrontend::Connection::hasMoreInput() const {
-  return !pipelinedInput_.empty() || (isParsing_ && parser_.unconsumed() > 0);
+  const bool isOverflowDue =
+      overflow_.dueRejections() > 0 || overflow_.isInsideRequest() || overflow_.hasEnded();
+  return !pipelinedInput_.empty() || isOverflowDue || (isParsing_ && parser_.unconsumed() > 0);
 }
 
 void HttpFrontend::Connection::postServeNextRequest() {
@@ -104,7 +118,9 @@
   int servedRequests = 0;
   while (state_ == State::open && !persistence_.isClosingAnnounced() && !isRequestOpen_ &&
          !pipelinedInput_.empty()) {
-    if (servedRequests >= kMaxRequestsPerIteration) return postServeNextRequest();
+    // Input that arrives in between may not be stored, so the rest must begin with a request's first byte.
+    if (servedRequests >= kMaxRequestsPerIteration && !parser_.hasPartialInput())
+      return postServeNextRequest();
     PipelinedInput::Segment segment = pipelinedInput_.takeFirst();
     const std::size_t size = segment.unparsed().size();
     const std::size_t parsed = parseInput(segment.unparsed(), {segment.arrivedAt, segment.arrivedAt});
@@ -112,8 +128,24 @@
     pipelinedInput_.putBack(std::move(segment), parsed);
     ++servedRequests;
   }
-  if (pipelinedInput_.hasOverflowed() && !isRequestOpen_ && pipelinedInput_.empty())
-    lingeringClose(Inbound::read, CloseReason::pipelineOverflow);
+  const bool isBufferServed = state_ == State::open && !isRequestOpen_ && pipelinedInput_.empty();
+  if (isBufferServed && overflow_.isActive()) rejectOverflowingRequest();
+}
+
+// Rejects the next request that was read but not stored, or waits for the rest of one that was read in part.
+void HttpFrontend::Connection::rejectOverflowingRequest() {
+  constexpr std::string_view cause = "too many requests were sent ahead";
+  if (overflow_.dueRejections() > 0) {
+    isOverflowTimed_ = false;
+    timer_.stop();
+    overflow_.onRejected();
+    const bool isLast = overflow_.hasEnded() && overflow_.dueRejections() == 0;
+    if (isLast) persistence_.closeAfterCurrentRequest();
+    owner_.events_.rejected(503, cause);
+    return respond(503, cause, owner_.options_.retryAfter);
+  }
+  if (overflow_.hasEnded()) return reject(400, "invalid request");
+  if (overflow_.isInsideRequest() && !std::exchange(isOverflowTimed_, true)) startRequestTimer();
 }
 
 // Delays the next pipelined request until the client has read its responses, because unsent responses would
@@ -121,6 +153,7 @@
 void HttpFrontend::Connection::waitUntilResponsesAreRead() {
   if (owner_.loop_.now() - lastResponseAt_ > owner_.policy_.options().requestTimeout)
     return close(CloseReason::unreadResponse);
+  isOverflowTimed_ = false;
   timer_.start(kUnreadCheckInterval, [this] { serveNextRequest(); });
 }
 
@@ -221,7 +254,8 @@
   if (!stream_.quiet() && !std::exchange(timeoutRechecked_, true))
     return timer_.start(kTimeoutRecheckDelay, [this] { onRequestTimeout(); });
   ++owner_.counters_.timedOut;
-  if (!parser_.hasPartialInput()) return lingeringClose(Inbound::leaveUnread, CloseReason::requestTimeout);
+  if (!parser_.hasPartialInput() && !overflow_.isInsideRequest())
+    return lingeringClose(Inbound::leaveUnread, CloseReason::requestTimeout);
   reject(408, "the request did not come whole in time");
 }
 
@@ -284,9 +318,10 @@
   lastResponseAt_ = owner_.loop_.now();
   if (persistence_.isClosingAnnounced()) return lingeringClose(Inbound::read, CloseReason::finalResponse);
   if (hasMoreInput()) return postServeNextRequest();
+  overflow_.endIfAnswered();
   // The response head did not announce the close, because the response had started before the close was
   // decided. Requests that the client has sent since are still served.
-  if (persistence_.isClosing() && (pipelinedInput_.hasOverflowed() || stream_.quiet()))
+  if (persistence_.isClosing() && stream_.quiet())
     return lingeringClose(Inbound::leaveUnread, CloseReason::draining);
   const std::size_t openConnections = owner_.connections_.size() - owner_.lingering_.size();
   timer_.start(owner_.policy_.idleTimeout(openConnections), [this] { onIdleTimeout(); });
--- a/src/platform/http_frontend/http_connection.h
+++ b/src/platform/http_frontend/http_connection.h
@@ -17,6 +17,7 @@
 #include "platform/http_frontend/http_frontend.h"
 #include "platform/http_frontend/lingering_close.h"
 #include "platform/http_frontend/persistence.h"
+#include "platform/http_frontend/pipeline_overflow.h"
 #include "platform/http_frontend/pipelined_input.h"
 #include "platform/http_frontend/response_writer.h"
 
@@ -60,6 +61,8 @@
   void onBytes(std::string_view bytes) override;
   void onClosed(net::CloseCause) override { close(CloseReason::clientClosed); }
   void bufferInput(std::string_view bytes);
+  void startOverflow(std::string_view bytes);
+  void rejectOverflowingRequest();
   std::size_t parseInput(std::string_view bytes, const net::Arrival& arrival);
   bool hasMoreInput() const;
   void postServeNextRequest();
@@ -100,6 +103,7 @@
   http1::MessageParser parser_;
   timing::Alarm timer_;
   PipelinedInput pipelinedInput_;
+  PipelineOverflow overflow_;
   // The request that is being received or answered.
   http1::Head head_;
   std::string body_;
@@ -112,6 +116,7 @@
   bool isParsing_ = false;
   bool hasResponded_ = false;  // at least one response was completed
   bool serveNextPosted_ = false;
+  bool isOverflowTimed_ = false;   // the request timeout runs for a request that is not stored
   bool timeoutRechecked_ = false;  // the request timeout was extended once to read pending bytes
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   net::Stream stream_;
--- a/src/platform/http_frontend/pipelined_input.h
+++ b/src/platform/http_frontend/pipelined_input.h
@@ -3,6 +3,7 @@
 /// arrival. Performs no I/O and reads no clock.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <string>
@@ -14,8 +15,7 @@
 
 namespace garnethook::platform {
 
-/// The unparsed input of one connection, bounded by its own limit and by the budget of all connections. The
-/// owner must not append further input after an overflow, since the discarded bytes would be missing from it.
+/// The unparsed input of one connection, bounded by its own limit and by the budget of all connections.
 class PipelinedInput {
  public:
   /// Bytes that arrive within this many microseconds share one segment, which bounds the overhead caused by a
@@ -35,21 +35,29 @@
   /// @param budget limit on the bytes that all connections together may buffer
   PipelinedInput(std::size_t limit, ByteBudget& budget) : limit_(limit), reservation_(budget) {}
 
-  /// Appends bytes, or discards them and marks the input as overflowed if a limit would be exceeded.
-  void append(std::string_view bytes, Micros now) {
-    if (reservation_.size() + bytes.size() > limit_ || !reservation_.tryAdd(bytes.size())) {
-      overflowed_ = true;
-      return;
-    }
+  /// Appends bytes. @return false if a limit would be exceeded; nothing is appended then
+  [[nodiscard]] bool append(std::string_view bytes, Micros now) {
+    if (reservation_.size() + bytes.size() > limit_ || !reservation_.tryAdd(bytes.size())) return false;
     if (!segments_.empty() && now - segments_.back().arrivedAt < kSegmentWindow)
       segments_.back().bytes.append(bytes);
     else
       segments_.push_back({std::string(bytes), now});
+    return true;
   }
   /// Whether there is no unparsed input.
   bool empty() const { return reservation_.size() == 0; }
-  /// Whether input was discarded because a limit was reached.
-  bool hasOverflowed() const { return overflowed_; }
+  /// The unparsed input, oldest first.
+  const std::deque<Segment>& segments() const { return segments_; }
+  /// Discards all but the first `size` unparsed bytes.
+  void truncate(std::size_t size) {
+    while (reservation_.size() > size) {
+      Segment& last = segments_.back();
+      const std::size_t excess = std::min(reservation_.size() - size, last.unparsed().size());
+      last.bytes.resize(last.bytes.size() - excess);
+      reservation_.subtract(excess);
+      if (last.unparsed().empty()) segments_.pop_back();
+    }
+  }
   /// Removes and returns the oldest segment. The input must not be empty.
   Segment takeFirst() {
     Segment first = std::move(segments_.front());
@@ -74,7 +82,6 @@
   std::size_t limit_;
   ByteReservation reservation_;  // the unparsed bytes
   std::deque<Segment> segments_;
-  bool overflowed_ = false;
 };
 
 }  // namespace garnethook::platform
