Cancel the policy's timers of a request once it has ended

Cause: Router::execute(SetTimer) kept no key, so the deadline timer of each request stayed until the deadline, however soon the request had ended.

Change: SetTimer tells the request that it belongs to; the router cancels these timers when the request is completed, rejected or cancelled.

--- a/src/policy/actions.h
+++ b/src/policy/actions.h
@@ -2,6 +2,7 @@
 /// Actions that the routing policy emits in response to an event; the caller must execute them in order.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -39,10 +40,13 @@
 struct Release {
   RequestId id;  ///< The request.
 };
-/// Set a timer; replaces a timer with the same identifier.
+/// Set a timer.
 struct SetTimer {
   TimerId id;        ///< Identifier to pass in TimerFired.
   Micros delay = 0;  ///< Time until it fires.
+  /// The request that it belongs to, if any. Such a timer has no effect once the request has ended, so it may
+  /// be cancelled then.
+  std::optional<RequestId> request{};
 };
 /// Probe an endpoint's health.
 struct Probe {
--- a/src/policy/decision_context.h
+++ b/src/policy/decision_context.h
@@ -54,7 +54,9 @@
     actions_->emplace_back(std::move(action));
   }
   /// Appends the action that sets a timer.
-  void setTimer(TimerId id, Micros delay) { actions_->emplace_back(SetTimer{id, delay}); }
+  void setTimer(TimerId id, Micros delay, std::optional<RequestId> request = std::nullopt) {
+    actions_->emplace_back(SetTimer{id, delay, request});
+  }
 
   /// Returns the next random number, uniformly distributed in [0, 1).
   double uniform() { return toUnitInterval(random_()); }
--- a/src/policy/routing_policy.cpp
+++ b/src/policy/routing_policy.cpp
@@ -122,7 +122,7 @@
                           toMicros(objectivePerKiloToken * arrival.promptTokens / 1000);
     request.deadline = context_.now() + arrival.remaining;
     slowStart_.recordArrival(request);
-    context_.setTimer(timerIdFor(arrival.id, TimerPurpose::deadline), std::max<Micros>(0, arrival.remaining));
+    setRequestTimer(arrival.id, TimerPurpose::deadline, std::max<Micros>(0, arrival.remaining));
     advance(request);
   }
 
@@ -215,8 +215,11 @@
   }
 
   void reevaluateAfter(const TrackedRequest& request, Micros delay) {
-    context_.setTimer(timerIdFor(request.arrival.id, TimerPurpose::reevaluation),
-                      std::max(kMinReevaluationDelay, delay));
+    setRequestTimer(request.arrival.id, TimerPurpose::reevaluation, std::max(kMinReevaluationDelay, delay));
+  }
+
+  void setRequestTimer(RequestId id, TimerPurpose purpose, Micros delay) {
+    context_.setTimer(timerIdFor(id, purpose), delay, id);
   }
 
   // ---- attempts ----
@@ -229,8 +232,7 @@
     attemptTracker_.recordSend(request, attempt);
     const bool policyEnforcesTimeout = settings_.canCancel && attempt.timeout > 0;
     context_.emit(Send{id, attempt.endpoint, policyEnforcesTimeout ? 0 : attempt.timeout});
-    if (policyEnforcesTimeout)
-      context_.setTimer(timerIdFor(id, TimerPurpose::attemptTimeout), attempt.timeout);
+    if (policyEnforcesTimeout) setRequestTimer(id, TimerPurpose::attemptTimeout, attempt.timeout);
   }
 
   void on(const StreamStarted& event) {
@@ -257,8 +259,7 @@
     InFlightAttempt& attempt = *request.attempt;
     const Micros remainingTime = attempt.sentAt + attempt.timeout - context_.now();
     if (remainingTime > 0 || isEndpointBusy(id, attempt))
-      return context_.setTimer(timerIdFor(id, TimerPurpose::attemptTimeout),
-                               std::max(remainingTime, attempt.timeout / 2));
+      return setRequestTimer(id, TimerPurpose::attemptTimeout, std::max(remainingTime, attempt.timeout / 2));
     context_.emit(Cancel{id, attempt.number});
     attempt.timeout = 0;
   }
--- a/src/routing/active_request.h
+++ b/src/routing/active_request.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "routing/completion.h"
 #include "routing/endpoint_location.h"
@@ -43,11 +44,12 @@
   ExecutionHistory history;                         ///< Whether the request was possibly executed.
   std::optional<EndpointLocation> firstExecutedAt;  ///< Location of the first possible execution.
   std::string kvTransferParams;                     ///< KV transfer parameters of the completed prefill.
-  std::optional<EndpointId> kvEndpoint;  ///< Endpoint at which the completed prefill left its KV state.
-  std::string lastError;                 ///< Latest error text of an engine, for the completion's text.
-  std::uint32_t nextTokenIndex = 0;      ///< Tokens passed to the client so far.
-  Usage usage;                           ///< Token counts so far.
-  timing::TimerKey streamTimer;          ///< Timer of the next stream check.
+  std::optional<EndpointId> kvEndpoint;        ///< Endpoint at which the completed prefill left its KV state.
+  std::string lastError;                       ///< Latest error text of an engine, for the completion's text.
+  std::uint32_t nextTokenIndex = 0;            ///< Tokens passed to the client so far.
+  Usage usage;                                 ///< Token counts so far.
+  timing::TimerKey streamTimer;                ///< Timer of the next stream check.
+  std::vector<timing::TimerKey> policyTimers;  ///< Timers that the policy set for it, including expired ones.
 
   /// Whether the request is completed or cancelled.
   bool isFinished() const { return client == nullptr; }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -195,7 +195,17 @@
 }
 
 void Router::execute(const SetTimer& setTimer) {
-  timers_.after(setTimer.delay, [this, id = setTimer.id] { events_.enqueue(TimerFired{id}); });
+  ActiveRequest* const active = setTimer.request ? findPending(*setTimer.request) : nullptr;
+  if (setTimer.request && active == nullptr) return;  // it has ended since
+  const timing::TimerKey key =
+      timers_.after(setTimer.delay, [this, id = setTimer.id] { events_.enqueue(TimerFired{id}); });
+  if (active != nullptr) active->policyTimers.push_back(key);
+}
+
+// Deadlines are long, and a request that is rejected at once is often followed by the next one at once, so
+// the timers of ended requests would take up most of the memory.
+void Router::cancelPolicyTimers(ActiveRequest& active) {
+  for (const timing::TimerKey key : std::exchange(active.policyTimers, {})) timers_.cancel(key);
 }
 
 void Router::execute(const Probe& probe) { context_.engines.probe(probe.endpoint); }
@@ -210,6 +220,7 @@
     const RequestId id = requests_.finished()[i];
     ActiveRequest* active = requests_.find(id);
     if (active == nullptr || !active->isFinished()) continue;
+    cancelPolicyTimers(*active);
     if (active->attempt) {
       attempts_.end(*active, active->attempt->hasStarted ? kNeutralOutcome : Outcome::cancelled, true);
       active = requests_.find(id);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -81,6 +81,8 @@
   std::size_t pendingRequests() const { return requests_.pendingCount(); }
   /// Number of requests that are pending or have an attempt in flight.
   std::size_t activeRequests() const { return requests_.size(); }
+  /// Number of timers that are running for requests, streams and the policy.
+  std::size_t runningTimers() const { return timers_.size(); }
   /// Settings of the routing policy.
   const Settings& settings() const { return options_.settings; }
 
@@ -93,6 +95,7 @@
   void execute(const Fail& fail);
   void execute(const Release& release);
   void execute(const SetTimer& setTimer);
+  void cancelPolicyTimers(ActiveRequest& active);
   void execute(const Probe& probe);
   void execute(const Subscribe&) {}
   void execute(const Log& log);
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -468,6 +468,32 @@
   EXPECT_EQ(engines.startedAttempts.back().phase, Phase::prefill);
 }
 
+// Guards against a router that runs out of memory by requests that end long before their deadlines: none of
+// their timers stays, however they end.
+TEST_F(RouterTest, KeepsNoTimerOfARequestThatHasEnded) {
+  constexpr std::size_t kRequests = 1000;
+  timers.advance(500'000);
+  const std::size_t timersBefore = router.runningTimers();
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    RecordingClient completed;
+    accept(completed);
+    timers.advance(10'000);
+    finishPrefill();
+    router.onTokens(engines.startedAttempts.back().attempt, "x", 1, {});
+    router.onAttemptEnded(engines.startedAttempts.back().attempt, {.outcome = Outcome::completed});
+    RecordingClient cancelled;
+    router.cancel(accept(cancelled));
+  }
+  router.onEndpointUpdate({EndpointUpdate::Kind::snapshot, {}});
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    RecordingClient rejected;
+    accept(rejected);
+    EXPECT_TRUE(rejected.completion);
+  }
+  EXPECT_EQ(router.activeRequests(), 0u);
+  EXPECT_LE(router.runningTimers(), timersBefore + 1);  // one more repeats the releases of the cancelled ones
+}
+
 // Prevents a release call that throws from blocking the other calls or from staying in flight forever.
 TEST_F(RouterTest, RetriesAReleaseWhoseCallThrows) {
   RecordingClient client;
