The soak's oracle gives no second grace to a process that starts long after a drain was told

Change: the earlier of the two times counts. So a drain is reported wherever it was before, and in the cases that were excused.

--- a/tests/soak/oracle.cpp
+++ b/tests/soak/oracle.cpp
@@ -340,7 +340,8 @@
     for (const Fault& fault : plan_.faultsOfKind("drain")) {
       if (fault.target != attempt.engine) continue;
       const Micros knownAt = discoveryReachableAt(plan_.start + fault.from);
-      const Micros toldAt = knownAt <= startedAt ? startedAt : knownAt + Limits::listUpdateWithin;
+      const Micros latest = knownAt + Limits::listUpdateWithin;
+      const Micros toldAt = knownAt <= startedAt ? std::min(startedAt, latest) : latest;
       since = std::min(since.value_or(toldAt), toldAt);
     }
     return since;
--- a/tests/soak/oracle_test.cpp
+++ b/tests/soak/oracle_test.cpp
@@ -229,6 +229,18 @@
   EXPECT_EQ(violatedRules(), Rules{"drain"});
 }
 
+// Guards against a process that gets the grace period anew, long after the change counted as told.
+TEST_F(OracleTest, AProcessThatStartsLongAfterADrainWasToldGetsNoFurtherGrace) {
+  plan.length = 20 * kSecond;
+  plan.plannedFaults.push_back({"drain", "e4", 500 * kMillisecond, 40 * kSecond});
+  logEvent(9000, "started router=r0");
+  logEvent(9300, "sent id=q class=chat router=r0 fresh=1 deadline=1500");
+  begin(9310, "e4", "1");
+  end(9350, "e4", "1", "served");
+  served(9500);
+  EXPECT_EQ(violatedRules(), Rules{"drain"});
+}
+
 // Discovery itself learns of the change only after its outage.
 TEST_F(OracleTest, DrainDuringAnOutageOfDiscoveryIsNotToldToAProcessThatStartsInIt) {
   plan.length = 20 * kSecond;
