--- a/tests/path/platform_path_test.cpp
+++ b/tests/path/platform_path_test.cpp
@@ -212,6 +212,34 @@
   EXPECT_TRUE(world.becomesIdle());
 }
 
+// Guards against a client that floods without end, which is not disconnected: what is stored of it stays
+// bounded, and other clients are served.
+TEST_F(PlatformPath, AnEndlessPipelinedFloodIsBoundedAndOtherClientsAreServed) {
+  constexpr std::size_t kRequestBytes = 20'000;
+  constexpr std::size_t kMaxStored = (std::size_t{1} << 20) + 2 * kRequestBytes;  // and the open requests
+  world.decodeEngine.script = [&](Request& request) {
+    const bool isFlood = http1::find(request.head.fields, "x-trace-id")->starts_with("flood");
+    PlatformWorld::answerControlRequest(request) || isFlood || (request.stream->send(kCompleteStream), true);
+  };
+  auto client = world.connectClient();
+  std::size_t sent = 0;
+  const auto flood = [&] {
+    while (client->stream.pending() < 10 * kRequestBytes)
+      client->stream.send(requestText("flood" + std::to_string(sent++), "", kRequestBytes));
+  };
+  for (int i = 0; i < 20; ++i) {
+    auto other = world.connectClient();
+    other->ask("other" + std::to_string(i));
+    EXPECT_TRUE(world.until([&] { return (flood(), other->has(kFinalChunk)); }, 1'000'000)) << i;
+    EXPECT_LE(world.routerProcess->frontend().bufferedBytes(), kMaxStored);
+  }
+  world.until([&] { return (flood(), sent > 500); }, 3'000'000);
+  EXPECT_GT(sent, 500u);  // ten times what is stored
+  EXPECT_LE(world.routerProcess->frontend().bufferedBytes(), kMaxStored);
+  client->stream.close();
+  EXPECT_TRUE(world.becomesIdle());
+}
+
 // Guards against a client that stops within a request that is not stored: it gets an error in time.
 TEST_F(PlatformPath, APartialRequestBehindAPipelinedFloodTimesOut) {
   auto client = world.connectClient();
--- a/tests/process/kv_release_test.cpp
+++ b/tests/process/kv_release_test.cpp
@@ -203,6 +203,48 @@
   EXPECT_EQ(harness.decodeEngine.count("POST"), 2u);
 }
 
+// Guards against a shutdown that waits for a silent decode without releasing its state.
+TEST_P(SilentNewConnectionTest, AStateIsReleasedInTimeAfterASignalToStop) {
+  ASSERT_NO_FATAL_FAILURE(startSilentDecode("stopping"));
+  harness.program->signal(SIGTERM);
+  expectReleaseAfterPrefill("stopping");
+}
+
+TEST_P(SilentNewConnectionTest, AStateIsReleasedInTimeWhenTheClientLeaves) {
+  ASSERT_NO_FATAL_FAILURE(startSilentDecode("leaving"));
+  client->stream.close();
+  expectReleaseAfterPrefill("leaving");
+}
+
+// Guards against a release that costs a decode which did arrive: it waits at its engine, which spares the
+// state, so it is served and the prompt is not prefilled again.
+TEST_P(SilentNewConnectionTest, ADecodeThatArrivedAndWaitsIsServedAfterTheRelease) {
+  ignoresRequest = nullptr;
+  decode = [this](Request& request) {
+    harness.loop.after(900 * kMillisecond, [stream = request.stream] { stream->send(kCompleteStream); });
+  };
+  ASSERT_NO_FATAL_FAILURE(startSilentDecode("waiting"));
+  EXPECT_TRUE(harness.until([&] { return client->has(kFinalChunk); }, 3 * kSecond)) << client->got;
+  EXPECT_TRUE(isReleased("waiting", prefilledAt, harness.loop.now()));
+  EXPECT_EQ(harness.prefillEngine.count("POST"), 1u);
+  EXPECT_EQ(harness.decodeEngine.count("POST"), 1u);
+}
+
+// A decode that the network delivers after the release finds no state: the prompt is prefilled again, also
+// where the request may not run twice, since it never ran.
+TEST_P(SilentNewConnectionTest, ADecodeThatArrivesAfterTheReleaseIsPrefilledAgain) {
+  ignoresRequest = nullptr;
+  decode = [this](Request& request) {
+    if (harness.decodeEngine.count("POST") > 1) return request.stream->send(kCompleteStream);
+    harness.loop.after(900 * kMillisecond, [stream = request.stream] {
+      stream->send("HTTP/1.1 410 Gone\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+  };
+  ASSERT_NO_FATAL_FAILURE(startSilentDecode("late"));
+  EXPECT_TRUE(harness.until([&] { return client->has(kFinalChunk); }, 3 * kSecond)) << client->got;
+  EXPECT_EQ(harness.prefillEngine.count("POST"), 2u);
+}
+
 INSTANTIATE_TEST_SUITE_P(Probes, SilentNewConnectionTest, testing::Bool());
 
 // One engine accepts releases and answers none. Few connections are available for releases, so the releases
--- a/tests/process/scripted_discovery.h
+++ b/tests/process/scripted_discovery.h
@@ -34,6 +34,15 @@
     silent = false;
     for (const auto& watch : std::exchange(unansweredWatches_, {})) respond(watch);
   }
+  /// Answers the oldest of the open watches that were accepted while it was silent; the others stay silent.
+  void answerOldestWatch() {
+    const auto oldest =
+        std::find_if(unansweredWatches_.begin(), unansweredWatches_.end(),
+                     [](const std::shared_ptr<fake_engine::HttpReply>& watch) { return watch->open(); });
+    if (oldest == unansweredWatches_.end()) return;
+    respond(*oldest);
+    unansweredWatches_.erase(oldest);
+  }
   /// Sends a list on all open watches; later watches start with it.
   void publish(const std::string& newList) {
     list = newList;
--- a/tests/process/start_test.cpp
+++ b/tests/process/start_test.cpp
@@ -1,12 +1,15 @@
 // Tests how `garnethook run` starts: when it is ready, and what it does with the list of endpoints that an
 // earlier process stored. The program runs as a child process, with raw clients, scripted engines and
 // discovery.
+#include <algorithm>
 #include <iostream>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "process_harness.h"
+#include "timing/wall_clock.h"
 
 namespace garnethook::test {
 namespace {
@@ -113,6 +116,56 @@
   EXPECT_EQ(harness.linesWith(R"("endpoint-list")", R"("stale_copy":true)"), 0u);
 }
 
+// Guards against a first connection that is closed in favour of the second one: a slow discovery may answer
+// it, with a list or with a keep-alive.
+TEST_F(StartTest, AFirstConnectionIsKeptBesideTheSecondAndMayAnswer) {
+  for (const std::string& answer : {std::string(), changedList()}) {
+    ProcessHarness slow;
+    storeList(slow);
+    slow.discovery.silent = true;
+    slow.discovery.list = answer;
+    ASSERT_NO_FATAL_FAILURE(launch(slow));
+    ASSERT_TRUE(slow.until([&] { return slow.discovery.watchesStarted() == 2; }, kStartTimeout));
+    EXPECT_EQ(slow.discovery.openWatches(), 2u);
+    slow.discovery.answerOldestWatch();
+    EXPECT_TRUE(slow.waitUntilReady(kSecond)) << slow.standardError();
+  }
+}
+
+// Guards against a stored list that has an engine warm which has restarted while no process of this router
+// ran: nothing is sent to it before the restart is known, and then less than to a warm one.
+TEST_F(StartTest, AnEngineThatRestartedMeanwhileIsTreatedAsCold) {
+  constexpr int kRequests = 40;
+  harness.endpointEntries += "," + memberText("w2", harness.otherDecodeEngine, "m2");
+  storeList(harness);  // all started long ago
+  harness.discovery.silent = true;
+  ASSERT_NO_FATAL_FAILURE(launch(harness));
+  expectRejections("early", kSecond);
+  const std::string longAgo = R"("up_since_ms":0)";
+  std::string restarted = memberText("w", harness.decodeEngine, "m2");
+  restarted.replace(restarted.find(longAgo), longAgo.size(),
+                    R"("up_since_ms":)" + std::to_string(timing::unixNow().sinceEpoch / kMillisecond));
+  harness.discovery.list = listText(2, false, restarted);
+  harness.discovery.endSilence();
+  ASSERT_TRUE(harness.waitUntilReady(kSecond));
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (int i = 0; i < kRequests; ++i) {
+    clients.push_back(harness.client());
+    clients.back()->ask("burst" + std::to_string(i));
+  }
+  EXPECT_TRUE(harness.until(
+      [&] {
+        return std::all_of(clients.begin(), clients.end(),
+                           [](const auto& client) { return client->has("HTTP/1.1 "); });
+      },
+      5 * kSecond));
+  const std::size_t toCold = harness.decodeEngine.count("POST");
+  const std::size_t toWarm = harness.otherDecodeEngine.count("POST");
+  std::cout << toCold << " requests to the cold engine, " << toWarm << " to the warm one\n";
+  EXPECT_GT(toWarm, 0u);
+  EXPECT_LT(2 * toCold, toWarm);
+}
+
 TEST_F(StartTest, AReloadWhileItWaitsMovesItToAnotherDiscovery) {
   storeList(harness);
   harness.discovery.silent = true;
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -313,6 +313,29 @@
             0u);
 }
 
+// Guards against decode attempts on silent connections that each give the state its whole time again, whether
+// the connection breaks or the attempt times out.
+class SilentDecodeTest : public RouterTest, public testing::WithParamInterface<Outcome> {};
+
+TEST_P(SilentDecodeTest, KeepsTheReleaseTimeoutRunningWhenOneEndsWithoutAByteInReturn) {
+  RecordingClient client;
+  accept(client);
+  timers.advance(10'000);
+  finishPrefill();
+  const Micros prefilledAt = timers.time;
+  engines.delivery = DeliveryState::undelivered;
+  timers.advance(300'000);
+  router.onAttemptEnded(engines.startedAttempts.back().attempt,
+                        {.outcome = GetParam(), .anyBytesReceived = false});
+  ASSERT_EQ(engines.startedAttempts.size(), 3u);
+  ASSERT_EQ(engines.startedAttempts.back().phase, Phase::decode);
+  while (engines.releasedReservations.empty() && timers.time < prefilledAt + 2'000'000) timers.advance(1'000);
+  EXPECT_LE(timers.time - prefilledAt, 510'000);
+}
+
+INSTANTIATE_TEST_SUITE_P(Outcomes, SilentDecodeTest,
+                         testing::Values(Outcome::connectionReset, Outcome::timedOut));
+
 // No byte of such a decode attempt was sent, so the release timeout of the state keeps running.
 TEST_F(RouterTest, KeepsTheReleaseTimeoutRunningWhenNoByteOfADecodeIsSent) {
   constexpr Micros kAttemptDuration = 240'000;
